--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+BENCH := $(BIN)/python -m hollycart_bench.commands
+SEED ?= 1
+DURATION_S ?= 120
+
+.PHONY: setup run up test prove measure scale recover
+
+setup: $(VENV)/installed
+
+$(VENV)/installed: requirements.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation \
+	  -e packages/hollycart-core -e packages/hollycart -e packages/hollycartctl -e packages/hollycart-bench
+	touch $(VENV)/installed
+
+run: setup
+	$(BENCH) sample --seed $(SEED)
+
+up: setup
+	$(BENCH) up
+
+test: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy packages/*/src
+	$(BIN)/python -m pytest $(PYTEST_ARGS)
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/engine/_app.py
@@ -0,0 +1,274 @@
+"""HTTP interface of the engine stand-in."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+
+import eventlet
+import msgspec
+
+from hollycart_bench.engine import _batcher
+from hollycart_bench.engine import _faults
+from hollycart_bench.engine import _orders
+from hollycart_bench.engine import _sequence
+from hollycart_bench.engine import _text
+from hollycart_core import base
+from hollycart_core import http
+
+_BODY_LIMIT = 64 << 20  # bytes
+_EVENT_DELAY = 50  # newest events not yet published
+_EVENT_GAP = 17  # every 17th event is lost
+_SHARE_TIMEOUT_MS = 600_000
+
+
+class EngineApp:
+    """Serves completions, load reports, cache events and orders.
+
+    Args:
+        batcher: The engine.
+        clock: Source of time.
+        orders: State changed by orders.
+        report_lag_ms: Age of the load report, in ms.
+    """
+
+    def __init__(
+        self,
+        batcher: _batcher.Batcher,
+        clock: base.Clock,
+        orders: _orders.OrderState,
+        report_lag_ms: float = 300.0,
+    ) -> None:
+        self.batcher = batcher
+        self.clock = clock
+        self.orders = orders
+        self.report_lag_ms = report_lag_ms
+        self.faults = _faults.Faults()
+        self.client = http.HttpClient()
+        self.received: list[tuple[float, str]] = []
+        self._reports: list[tuple[float, dict[str, Any]]] = []
+        self._wake = eventlet.event.Event()
+
+    def start(self) -> None:
+        """Starts the step loop."""
+        self.client.start()
+        eventlet.spawn(self._run)
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Handles one request."""
+        environ["eventlet.minimum_write_chunk_size"] = 0
+        try:
+            return self._route(environ, start_response)
+        except base.HollycartError as exc:
+            return http.json_response(
+                start_response, exc.http_status, {"error": exc.code}
+            )
+
+    def _route(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        if path == "/v1/state":
+            return http.json_response(start_response, 200, self._report())
+        if path == "/v1/truth":
+            return http.json_response(start_response, 200, self._truth())
+        if path == "/v1/events":
+            return http.json_response(start_response, 200, self._events())
+        data = http.read_body(environ, _BODY_LIMIT)
+        try:
+            body = msgspec.json.decode(data or b"{}")
+        except msgspec.DecodeError as exc:
+            raise base.InvalidRequestError(str(exc)) from exc
+        if path in ("/v1/completions", "/v1/chat/completions"):
+            return self._complete(body, start_response)
+        if path == "/v1/cancel":
+            found = self.batcher.cancel(body["request_id"])
+            return http.json_response(start_response, 200, {"cancelled": found})
+        if path == "/v1/reserve":
+            return self._reserve(body, start_response)
+        if path == "/v1/shares/run":
+            return self._run_share(body, start_response)
+        if path == "/v1/orders":
+            status, reply = self.orders.handle(body)
+            return http.json_response(start_response, status, reply)
+        if path == "/control/faults":
+            self.faults.set(body)
+            return http.json_response(start_response, 200, {})
+        raise base.NotFoundError(path)
+
+    def _run(self) -> None:
+        while True:
+            step = self.batcher.plan()
+            if step is None:
+                self.clock.sleep_ms(2)
+                self._note_report()
+                continue
+            self.clock.sleep_ms(step.duration_ms * self.faults.slow_factor)
+            self.batcher.finish(step)
+            self._note_report()
+
+    def _complete(
+        self, body: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        prompt = _prompt_bytes(body)
+        attempt_id = str(body.get("request_id", ""))
+        self.received.append((self.clock.wall_ms(), attempt_id))
+        shares: list[str] = body.get("shares", [])
+        count = 1 + len(shares)
+        tokens = _text.prompt_tokens(prompt)
+        share = -(-tokens // count)
+        sequence = _sequence.Sequence(
+            attempt_id,
+            _text.prompt_digest(prompt),
+            list(_text.block_hashes(prompt)) if count == 1 else [],
+            share,
+            int(body.get("max_tokens", 16)),
+            int(body.get("resume_from", 0)),
+            int(body.get("priority", 0)),
+            self.batcher.next_arrival(),
+        )
+        if sequence.memory > self.batcher.capacity_tokens:
+            raise base.PayloadTooLargeError("prompt")
+        self.batcher.cancel(attempt_id)  # its reservation, if any
+        if not self.batcher.add(sequence):
+            raise base.InvalidRequestError("request_id in use")
+        helpers = [self._spawn_share(a, sequence) for a in shares]
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return self._stream(sequence, tokens, helpers)
+
+    def _spawn_share(self, address: str, sequence: _sequence.Sequence) -> Any:
+        body = {
+            "request_id": sequence.attempt_id,
+            "priority": sequence.priority,
+        }
+        return eventlet.spawn(
+            self.client.send,
+            "POST",
+            f"http://{address}/v1/shares/run",
+            msgspec.json.encode(body),
+            None,
+            _SHARE_TIMEOUT_MS,
+        )
+
+    def _stream(
+        self, sequence: _sequence.Sequence, tokens: int, helpers: list[Any]
+    ) -> Iterator[bytes]:
+        frames = self._frames(sequence, tokens, helpers)
+        try:
+            yield b": accepted\n\n"
+            for frame in self.faults.distort(frames, self.clock):
+                yield b"data: " + msgspec.json.encode(frame) + b"\n\n"
+            yield b"data: [DONE]\n\n"
+            self.batcher.cancel(sequence.attempt_id)
+        except _faults.ConnectionDropped:
+            return
+
+    def _frames(
+        self, sequence: _sequence.Sequence, tokens: int, helpers: list[Any]
+    ) -> Iterator[dict[str, Any]]:
+        first = True
+        while True:
+            item = sequence.output.get()
+            if item is None:
+                return
+            if first:
+                first = False
+                for helper in helpers:
+                    if helper.wait().status != 200:
+                        return
+            token, offset, final = item
+            frame: dict[str, Any] = {
+                "id": sequence.attempt_id,
+                "offset": offset,
+                "choices": [
+                    {
+                        "index": 0,
+                        "text": token,
+                        "finish_reason": "length" if final else None,
+                    }
+                ],
+                "usage": {
+                    "prompt_tokens": tokens,
+                    "completion_tokens": offset + 1,
+                    "cached_tokens": sequence.cached,
+                },
+            }
+            yield frame
+            if final:
+                return
+
+    def _reserve(
+        self, body: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        sequence = _sequence.Sequence(
+            body["request_id"],
+            "",
+            [],
+            int(body["tokens"]),
+            0,
+            0,
+            9,
+            self.batcher.next_arrival(),
+        )
+        if not self.batcher.reserve(sequence):
+            return http.json_response(start_response, 409, {"error": "full"})
+        return http.json_response(start_response, 200, {})
+
+    def _run_share(
+        self, body: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        attempt_id = body["request_id"]
+        if not self.batcher.run_reserved(attempt_id, int(body["priority"])):
+            return http.json_response(start_response, 409, {"error": "share"})
+        item = self.batcher.sequences[attempt_id].output.get()
+        status = 409 if item is None else 200
+        return http.json_response(start_response, status, {})
+
+    def _truth(self) -> dict[str, Any]:
+        return {
+            "received": self.received[-20_000:],
+            "held": self.batcher.held_tokens,
+            "sequences": list(self.batcher.sequences),
+            "orders": self.orders.accepted,
+            "faults": self.faults.counts,
+            "models": list(self.orders.models),
+        }
+
+    def _note_report(self) -> None:
+        now_ms = self.clock.now_ms()
+        if self._reports and now_ms - self._reports[-1][0] < 50:
+            return
+        held = [
+            [s.attempt_id, s.memory, s.prefill_left]
+            for s in self.batcher.sequences.values()
+        ]
+        report = {
+            "held": held,
+            "models": list(self.orders.models),
+            "role": self.orders.role,
+        }
+        self._reports.append((now_ms, report))
+        while (
+            len(self._reports) > 1
+            and self._reports[1][0] <= now_ms - self.report_lag_ms
+        ):
+            self._reports.pop(0)
+
+    def _report(self) -> dict[str, Any]:
+        if not self._reports:
+            self._note_report()
+        at_ms, report = self._reports[0]
+        return {**report, "age_ms": self.clock.now_ms() - at_ms}
+
+    def _events(self) -> list[tuple[int, str, int]]:
+        visible = list(self.batcher.cache.events)[:-_EVENT_DELAY]
+        return [e for e in visible if e[0] % _EVENT_GAP][-2000:]
+
+
+def _prompt_bytes(body: dict[str, Any]) -> bytes:
+    if "prompt" in body:
+        return str(body["prompt"]).encode()
+    return "\n".join(
+        str(m.get("content", "")) for m in body.get("messages", [])
+    ).encode()
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/__init__.py
@@ -0,0 +1,17 @@
+"""Starts a whole system of separate processes."""
+
+from hollycart_bench.fleet._fleet import OPERATOR_KEY
+from hollycart_bench.fleet._fleet import Fleet
+from hollycart_bench.fleet._fleet import FleetSpec
+from hollycart_bench.fleet._fleet import free_port
+from hollycart_bench.fleet._process import BenchProcess
+from hollycart_bench.fleet._process import python_module
+
+__all__ = [
+    "OPERATOR_KEY",
+    "BenchProcess",
+    "Fleet",
+    "FleetSpec",
+    "free_port",
+    "python_module",
+]
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
@@ -0,0 +1,402 @@
+"""Starts a whole system of separate processes on loopback."""
+
+import hashlib
+import os
+import pathlib
+import signal
+import socket
+import tempfile
+import time
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import msgspec
+
+from hollycart_bench.fleet import _process
+from hollycart_core import base
+from hollycart_core import http
+from hollycart_core import membership
+
+HOST = "127.0.0.1"
+OPERATOR_KEY = "operator-key-of-the-bench"
+PEER_SECRET = "peer-secret-of-the-bench"
+_READY_TIMEOUT_S = 60.0
+
+
+class FleetSpec(NamedTuple):
+    """Size and settings of a system.
+
+    Attributes:
+        instances: Entry instances.
+        engines: Model engines.
+        services: Endpoints of the plain service.
+        zones: Availability zones.
+        engines_per_process: Engines that share a process; one to kill them
+            one by one.
+        capacity_tokens: KV-cache memory of an engine, in tokens.
+        model: The model.
+        settings: Further environment of the instances.
+        list_lag_ms: Lag of the instance list, in ms.
+        balancer: Whether to start the balancer.
+        unchecking: Number of engines that ignore fencing numbers.
+    """
+
+    instances: int = 6
+    engines: int = 14
+    services: int = 3
+    zones: int = 3
+    engines_per_process: int = 7
+    capacity_tokens: int = 400_000
+    model: str = "draft"
+    settings: dict[str, str] = {}
+    list_lag_ms: float = 500.0
+    balancer: bool = True
+    unchecking: int = 2
+
+
+class Fleet:
+    """A running system: stand-ins, entry instances and a balancer.
+
+    Args:
+        spec: Size and settings.
+        log_dir: Folder for the output of the processes.
+    """
+
+    def __init__(self, spec: FleetSpec, log_dir: pathlib.Path) -> None:
+        self.spec = spec
+        self.log_dir = log_dir
+        self.client = http.HttpClient()
+        self.processes: dict[str, _process.BenchProcess] = {}
+        self.entries: dict[str, membership.ListEntry] = {}
+        self.hosts: dict[str, str] = {}
+        self.kv_address = ""
+        self.list_address = ""
+        self.weight_address = ""
+        self.balancer_address = ""
+        self.keys: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Starts everything and waits until all instances are ready.
+
+        Raises:
+            TimeoutError: If an instance does not become ready.
+        """
+        self.client.start()
+        self._start_platform()
+        self._start_engines()
+        self._start_services()
+        for number in range(self.spec.instances):
+            self._add_instance(f"i{number}", number)
+        self.publish(self.entries)
+        for name in self.instance_names():
+            self.processes[name].start()
+        if self.spec.balancer:
+            self._start_balancer()
+        for name in self.instance_names():
+            self.wait_ready(name)
+
+    def close(self) -> None:
+        """Ends all processes that this fleet started."""
+        for process in self.processes.values():
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.wait(5.0)
+        self.client.close()
+
+    def stop_gracefully(self, timeout_s: float = 30.0) -> dict[str, int]:
+        """Stops the instances by SIGTERM and returns their exit codes."""
+        names = [n for n in self.instance_names() if self.running(n)]
+        for name in names:
+            self.processes[name].signal(signal.SIGTERM)
+        end_s = time.monotonic() + timeout_s
+        codes = {}
+        for name in names:
+            while self.processes[name].running and time.monotonic() < end_s:
+                eventlet.sleep(0.1)
+            code = self.processes[name].poll()
+            codes[name] = -1 if code is None else code
+        return codes
+
+    def instance_names(self) -> list[str]:
+        """Returns the names of the entry instances."""
+        return self.names(membership.KIND_INSTANCE)
+
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of all entries of a kind."""
+        return [n for n, e in self.entries.items() if e.kind == kind]
+
+    def running(self, name: str) -> bool:
+        """Returns whether the process behind an entry runs."""
+        return self.processes[self.hosts.get(name, name)].running
+
+    def process(self, name: str) -> _process.BenchProcess:
+        """Returns the process behind an entry."""
+        return self.processes[self.hosts.get(name, name)]
+
+    def publish(
+        self, entries: dict[str, Any], address: str | None = None
+    ) -> None:
+        """Changes the instance list; None removes an entry."""
+        self.control(address or self.list_address, "entries", entries)
+
+    def set_leaving(self, name: str, leaving: bool) -> None:
+        """Marks an entry as leaving in the list."""
+        self.entries[name] = self.entries[name]._replace(leaving=leaving)
+        self.publish({name: self.entries[name]})
+
+    def control(self, address: str, what: str, value: Any) -> Any:
+        """Changes a stand-in."""
+        reply = self.client.send(
+            "POST",
+            f"http://{address}/control/{what}",
+            msgspec.json.encode(value),
+            timeout_ms=5000,
+        )
+        return reply.json()
+
+    def read(self, address: str, path: str) -> Any:
+        """Reads a record of a stand-in."""
+        reply = self.client.send(
+            "GET", f"http://{address}{path}", timeout_ms=5000
+        )
+        return reply.json()
+
+    def status(self, name: str) -> Any:
+        """Reads the operators' status of an instance."""
+        reply = self.client.send(
+            "GET",
+            f"http://{self.entries[name].address}/admin/status",
+            headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+            timeout_ms=3000,
+        )
+        return reply.json()
+
+    def wait_ready(self, name: str) -> None:
+        """Waits until an instance is ready.
+
+        Raises:
+            TimeoutError: If it is not in time.
+        """
+        end_s = time.monotonic() + _READY_TIMEOUT_S
+        url = f"http://{self.entries[name].address}/readyz"
+        while time.monotonic() < end_s:
+            try:
+                if self.client.send("GET", url, timeout_ms=1000).status == 200:
+                    return
+            except base.HollycartError:
+                pass
+            eventlet.sleep(0.1)
+        raise TimeoutError(f"{name} is not ready")
+
+    def operator_environ(self) -> dict[str, str]:
+        """Returns the environment of the operators' command."""
+        return {
+            "HOLLYCARTCTL_KV_ADDRESS": self.kv_address,
+            "HOLLYCARTCTL_LIST_ADDRESS": self.list_address,
+            "HOLLYCARTCTL_OPERATOR_KEY": OPERATOR_KEY,
+            "HOLLYCARTCTL_AUTHOR": "bench",
+        }
+
+    def run_ctl(self, *args: str) -> Any:
+        """Runs the operators' command and returns its JSON output.
+
+        Raises:
+            RuntimeError: If it fails.
+        """
+        code, output = self.try_ctl(*args)
+        if code != 0:
+            raise RuntimeError(f"hollycartctl {args}: {code} {output}")
+        return msgspec.json.decode(output) if output.strip() else None
+
+    def try_ctl(self, *args: str) -> tuple[int, str]:
+        """Runs the operators' command; returns exit code and output."""
+        with tempfile.NamedTemporaryFile(suffix=".log") as out:
+            process = _process.BenchProcess(
+                os.path.basename(out.name),
+                _process.python_module("hollycartctl.main", *args, "--json"),
+                pathlib.Path(out.name).parent,
+                self.operator_environ(),
+            )
+            log = process.log_dir / f"{process.name}.log"
+            process.start()
+            end_s = time.monotonic() + 60
+            while process.running and time.monotonic() < end_s:
+                eventlet.sleep(0.02)
+            process.kill()
+            code = process.poll()
+            text = log.read_text()
+            log.unlink()
+            return -1 if code is None else code, text
+
+    def load_table(self, csv_text: str, teams: list[str]) -> None:
+        """Creates teams with keys and applies a table."""
+        for team in teams:
+            reply = self.run_ctl("teams", "add", team)
+            self.keys[team] = reply["key"]
+        with tempfile.NamedTemporaryFile("w", suffix=".csv") as file:
+            file.write(csv_text)
+            file.flush()
+            applied = self.run_ctl("apply", file.name)
+        self.wait_revision(applied["revision"])
+
+    def wait_revision(
+        self, revision: int, timeout_s: float = _READY_TIMEOUT_S
+    ) -> float:
+        """Waits until a table is in force everywhere.
+
+        Returns:
+            The time that it took, in seconds.
+
+        Raises:
+            TimeoutError: If it is not in time.
+        """
+        started = time.monotonic()
+        while time.monotonic() - started < timeout_s:
+            if all(
+                self.status(n)["table_revision"] >= revision
+                for n in self.instance_names()
+                if self.running(n)
+            ):
+                return time.monotonic() - started
+            eventlet.sleep(0.02)
+        raise TimeoutError(f"table revision {revision}")
+
+    def _start_platform(self) -> None:
+        self.kv_address = self._start_standin("kv", "run-kv")
+        self.list_address = self._start_standin(
+            "list", "run-list", "--lag-ms", str(self.spec.list_lag_ms)
+        )
+        self.weight_address = self._start_standin("weights", "run-weights")
+        for address in (self.kv_address, self.list_address):
+            self._wait_port(address)
+
+    def _start_engines(self) -> None:
+        count = self.spec.engines
+        step = self.spec.engines_per_process
+        for first in range(0, count, step):
+            numbers = range(first, min(count, first + step))
+            ports = {n: free_port() for n in numbers}
+            host = f"engines{first}"
+            argv = [
+                "run-engine",
+                "--ports",
+                ",".join(str(p) for p in ports.values()),
+                "--capacity-tokens",
+                str(self.spec.capacity_tokens),
+                "--model",
+                self.spec.model,
+                "--weight-store",
+                self.weight_address,
+            ]
+            checks = first >= self.spec.unchecking
+            if not checks:
+                argv.append("--no-checks-fence")
+            self._start_host(host, argv)
+            for number, port in ports.items():
+                self._add_engine(number, port, host, checks)
+
+    def _add_engine(
+        self, number: int, port: int, host: str, checks: bool
+    ) -> None:
+        name = f"e{number:03d}"
+        self.hosts[name] = host
+        self.entries[name] = membership.ListEntry(
+            name,
+            membership.KIND_ENGINE,
+            f"{HOST}:{port}",
+            zone=self._zone(number),
+            cell="default",
+            name=self.spec.model,
+            capacity_tokens=self.spec.capacity_tokens,
+            checks_fence=checks,
+        )
+
+    def _start_services(self) -> None:
+        for number in range(self.spec.services):
+            port = free_port()
+            name = f"s{number}"
+            self._start_host(name, ["run-service", "--port", str(port)])
+            self.entries[name] = membership.ListEntry(
+                name,
+                membership.KIND_SERVICE,
+                f"{HOST}:{port}",
+                zone=self._zone(number),
+                cell="default",
+                name="cases",
+                lookup_path="/lookup/",
+            )
+
+    def _start_balancer(self) -> None:
+        port = free_port()
+        self.balancer_address = f"{HOST}:{port}"
+        targets = [self.entries[n].address for n in self.instance_names()]
+        argv = ["run-balancer", "--port", str(port)]
+        argv += ["--targets", ",".join(targets)]
+        self._start_host("balancer", argv)
+        self._wait_port(self.balancer_address)
+
+    def _add_instance(self, name: str, number: int) -> None:
+        port, peer_port = free_port(), free_port()
+        self.entries[name] = membership.ListEntry(
+            name,
+            membership.KIND_INSTANCE,
+            f"{HOST}:{port}",
+            zone=self._zone(number),
+            peer_address=f"{HOST}:{peer_port}",
+            cell="default",
+        )
+        digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+        environ = {
+            "HOLLYCART_INSTANCE_ID": name,
+            "HOLLYCART_ZONE": self._zone(number),
+            "HOLLYCART_PORT": str(port),
+            "HOLLYCART_PEER_PORT": str(peer_port),
+            "HOLLYCART_KV_ADDRESS": self.kv_address,
+            "HOLLYCART_LIST_ADDRESS": self.list_address,
+            "HOLLYCART_OPERATOR_KEY_DIGEST": digest,
+            "HOLLYCART_PEER_SECRET": PEER_SECRET,
+            **self.spec.settings,
+        }
+        self.processes[name] = _process.BenchProcess(
+            name,
+            _process.python_module("hollycart.main", "serve"),
+            self.log_dir,
+            environ,
+        )
+
+    def _start_standin(self, name: str, *argv: str) -> str:
+        port = free_port()
+        self._start_host(name, [*argv, "--port", str(port)])
+        return f"{HOST}:{port}"
+
+    def _start_host(self, name: str, argv: list[str]) -> None:
+        process = _process.BenchProcess(
+            name,
+            _process.python_module("hollycart_bench.standin", *argv),
+            self.log_dir,
+        )
+        process.start()
+        self.processes[name] = process
+
+    def _wait_port(self, address: str) -> None:
+        host, port = address.split(":")
+        end_s = time.monotonic() + _READY_TIMEOUT_S
+        while time.monotonic() < end_s:
+            try:
+                eventlet.connect((host, int(port))).close()
+                return
+            except OSError:
+                eventlet.sleep(0.05)
+        raise TimeoutError(address)
+
+    def _zone(self, number: int) -> str:
+        return f"zone-{number % self.spec.zones}"
+
+
+def free_port() -> int:
+    """Returns a TCP port of loopback that is free now."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/load/__init__.py
@@ -0,0 +1,37 @@
+"""The load tool: workloads, plans, client and summaries."""
+
+from hollycart_bench.load._client import CallResult
+from hollycart_bench.load._client import LoadClient
+from hollycart_bench.load._plan import ENGINE_RATE
+from hollycart_bench.load._plan import Arrival
+from hollycart_bench.load._plan import PlanSpec
+from hollycart_bench.load._plan import make_plan
+from hollycart_bench.load._plan import prompt_of
+from hollycart_bench.load._summary import BANDS
+from hollycart_bench.load._summary import first_token_table
+from hollycart_bench.load._summary import format_table
+from hollycart_bench.load._summary import outcome_table
+from hollycart_bench.load._summary import percentile
+from hollycart_bench.load._workload import GUILD
+from hollycart_bench.load._workload import HINOKUNI
+from hollycart_bench.load._workload import WORKLOADS
+from hollycart_bench.load._workload import Workload
+
+__all__ = [
+    "BANDS",
+    "ENGINE_RATE",
+    "GUILD",
+    "HINOKUNI",
+    "WORKLOADS",
+    "Arrival",
+    "CallResult",
+    "LoadClient",
+    "PlanSpec",
+    "Workload",
+    "first_token_table",
+    "format_table",
+    "make_plan",
+    "outcome_table",
+    "percentile",
+    "prompt_of",
+]
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/platform/_service_app.py
@@ -0,0 +1,92 @@
+"""Plain service stand-in with non-idempotent calls."""
+
+from collections.abc import Iterable
+import random
+from typing import Any
+
+import msgspec
+
+from hollycart_core import base
+from hollycart_core import http
+
+_BODY_LIMIT = 1 << 20  # bytes
+
+
+class ServiceFaults(msgspec.Struct):
+    """Faults of the service.
+
+    Attributes:
+        delay_ms: Time before the effect, in ms.
+        lose_answers: Share of calls whose answer is lost after the effect.
+        fail_before: Share of calls that break before the effect.
+        seed: Seed of the draws.
+    """
+
+    delay_ms: float = 5.0
+    lose_answers: float = 0.0
+    fail_before: float = 0.0
+    seed: int = 0
+
+
+class ServiceApp:
+    """Records each effect; the truth that tests compare with.
+
+    Args:
+        clock: Source of time.
+    """
+
+    def __init__(self, clock: base.Clock) -> None:
+        self.clock = clock
+        self.faults = ServiceFaults()
+        self.rng = random.Random(0)
+        self.effects: list[tuple[float, str, str]] = []
+        self.lost = 0
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Handles one request."""
+        path = environ["PATH_INFO"]
+        body = http.read_body(environ, _BODY_LIMIT)
+        if path == "/control/faults":
+            self.faults = msgspec.json.decode(body, type=ServiceFaults)
+            self.rng = random.Random(self.faults.seed)
+            return http.json_response(start_response, 200, {})
+        if path == "/control/truth":
+            value = {"effects": self.effects, "lost": self.lost}
+            return http.json_response(start_response, 200, value)
+        if path.startswith("/lookup/"):
+            return self._lookup(path.removeprefix("/lookup/"), start_response)
+        if environ["REQUEST_METHOD"] == "GET":
+            return http.json_response(start_response, 200, {"path": path})
+        return self._effect(environ, body, start_response)
+
+    def _effect(
+        self, environ: dict[str, Any], body: bytes, start_response: Any
+    ) -> Iterable[bytes]:
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        if self.rng.random() < self.faults.fail_before:
+            self._abort(environ)
+        self.clock.sleep_ms(self.faults.delay_ms)
+        self.effects.append(
+            (
+                self.clock.wall_ms(),
+                key,
+                environ.get("HTTP_HOLLYCART_ATTEMPT", ""),
+            )
+        )
+        if self.rng.random() < self.faults.lose_answers:
+            self.lost += 1
+            self._abort(environ)
+        value = {"receipt": f"{key}#{len(self.effects)}", "bytes": len(body)}
+        return http.json_response(start_response, 200, value)
+
+    def _lookup(self, key: str, start_response: Any) -> Iterable[bytes]:
+        known = any(k == key for _, k, _ in self.effects)
+        if not known:
+            return http.json_response(start_response, 404, {})
+        return http.json_response(start_response, 200, {"executed": key})
+
+    def _abort(self, environ: dict[str, Any]) -> None:
+        environ["eventlet.input"].get_socket().shutdown(2)
+        raise base.EndpointFailedError("injected")
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/run/_sample.py
@@ -0,0 +1,98 @@
+"""The sample run: a whole system under a mixed load of both users."""
+
+import pathlib
+import sys
+import time
+
+from hollycart_bench import fleet
+from hollycart_bench import load
+
+_RIGHT = ("ok",)
+
+
+def run_sample(log_dir: pathlib.Path, duration_s: float, seed: int) -> int:
+    """Runs the system under load and prints what callers saw.
+
+    Args:
+        log_dir: Folder for the output of the processes.
+        duration_s: Length of the arrivals per user, in seconds.
+        seed: Seed of the load.
+
+    Returns:
+        Zero if every request had a right outcome, otherwise one.
+    """
+    bad = 0
+    for workload in load.WORKLOADS.values():
+        bad += _run_user(workload, log_dir, duration_s, seed)
+    return 1 if bad else 0
+
+
+def _run_user(
+    workload: load.Workload,
+    log_dir: pathlib.Path,
+    duration_s: float,
+    seed: int,
+) -> int:
+    spec = fleet.FleetSpec(engines=workload.engines)
+    system = fleet.Fleet(spec, log_dir / workload.name)
+    _say(f"{workload.name}: starting {spec.instances} instances")
+    try:
+        system.start()
+        system.load_table(workload.table_csv(), list(workload.teams))
+        client = load.LoadClient(
+            spec.model, system.keys, lambda _: system.balancer_address, seed
+        )
+        plan = load.make_plan(
+            load.PlanSpec(
+                workload,
+                0.5,
+                duration_s * 1000.0,
+                seed,
+                workload.engines,
+                effects_per_s=5.0,
+                huge=1,
+                stream_share=0.8,
+            )
+        )
+        _say(f"{workload.name}: sending {len(plan)} requests")
+        progress = _Progress(len(plan))
+        results = client.run(plan, progress.note)
+        codes = system.stop_gracefully()
+        return _print_results(results, codes)
+    finally:
+        system.close()
+
+
+class _Progress:
+    """Prints a line at intervals."""
+
+    def __init__(self, total: int) -> None:
+        self.total = total
+        self.done = 0
+        self._said = time.monotonic()
+
+    def note(self, result: load.CallResult) -> None:
+        del result
+        self.done += 1
+        if time.monotonic() - self._said >= 5.0:
+            self._said = time.monotonic()
+            _say(f"  {self.done} of {self.total} answered")
+
+
+def _print_results(
+    results: list[load.CallResult], codes: dict[str, int]
+) -> int:
+    _say("time to first token by prompt length, ms")
+    _say(load.format_table(load.first_token_table(results)))
+    _say("outcomes by request kind")
+    _say(load.format_table(load.outcome_table(results)))
+    _say(f"exit codes of the instances: {codes}")
+    bad = [r for r in results if r.outcome not in _RIGHT]
+    for result in bad[:10]:
+        _say(f"  {result.outcome} {result.status} {result.arrival}")
+    return len(bad) + sum(1 for c in codes.values() if c != 0)
+
+
+def _say(text: str) -> None:
+    sys.stdout.write(text + "\n")
+    sys.stdout.flush()
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/standin.py
@@ -0,0 +1,126 @@
+"""Runs one stand-in as a process: `python -m hollycart_bench.standin`."""
+
+import warnings
+
+warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
+
+
+from collections.abc import Callable
+
+import defopt
+import eventlet
+
+from hollycart_bench import engine
+from hollycart_bench import platform
+from hollycart_core import base
+from hollycart_core import http
+
+
+def run_engine(
+    *,
+    host: str = "127.0.0.1",
+    ports: str = "0",
+    capacity_tokens: int = 400_000,
+    model: str = "draft",
+    checks_fence: bool = True,
+    weight_store: str = "",
+) -> None:
+    """Runs model engines.
+
+    Args:
+        host: IP address to listen on.
+        ports: TCP ports, one engine each, separated by commas.
+        capacity_tokens: KV-cache memory of an engine, in tokens.
+        model: Model held at first.
+        checks_fence: Whether orders with an old number are refused.
+        weight_store: Address of the weight store.
+    """
+    clock = base.SystemClock()
+    for port in ports.split(","):
+        orders = engine.OrderState((model,), checks_fence, weight_store, clock)
+        batcher = engine.Batcher(engine.StepModel(), capacity_tokens)
+        app = engine.EngineApp(batcher, clock, orders)
+        app.start()
+        http.HttpServer(app, host, int(port)).start()
+    _sleep_forever()
+
+
+def run_kv(*, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Runs the key-value service.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port.
+    """
+    _serve(platform.KvApp(base.SystemClock()), host, port)
+
+
+def run_list(
+    *, host: str = "127.0.0.1", port: int = 0, lag_ms: float = 500.0
+) -> None:
+    """Runs the instance list.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port.
+        lag_ms: How late a change is shown, in ms.
+    """
+    _serve(platform.ListApp(base.SystemClock(), lag_ms), host, port)
+
+
+def run_service(*, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Runs a plain service.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port.
+    """
+    _serve(platform.ServiceApp(base.SystemClock()), host, port)
+
+
+def run_weights(*, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Runs the weight store.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port.
+    """
+    _serve(platform.WeightApp(base.SystemClock()), host, port)
+
+
+def run_balancer(
+    *, host: str = "127.0.0.1", port: int = 0, targets: str = ""
+) -> None:
+    """Runs the balancer.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port.
+        targets: Addresses of the instances, separated by commas.
+    """
+    clock = base.SystemClock()
+    platform.Balancer(host, port, targets.split(","), clock).start()
+    _sleep_forever()
+
+
+def _serve(app: Callable, host: str, port: int) -> None:
+    http.HttpServer(app, host, port).start()
+    _sleep_forever()
+
+
+def _sleep_forever() -> None:
+    while True:
+        eventlet.sleep(3600)
+
+
+if __name__ == "__main__":
+    defopt.run(
+        [
+            run_engine,
+            run_kv,
+            run_list,
+            run_service,
+            run_weights,
+            run_balancer,
+        ]
+    )
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic, shared types and platform adapters of hollycart."""
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/base/_loop.py
@@ -0,0 +1,51 @@
+"""Periodic work on the event loop with explicit start and close."""
+
+from collections.abc import Callable
+
+import eventlet
+from eventlet import greenthread
+
+from hollycart_core.base import _clock
+
+
+class PeriodicTask:
+    """Calls a function at an interval until closed.
+
+    Args:
+        function: Called without arguments; a failure is passed to `on_error`
+            and does not end the task.
+        interval_ms: Pause between calls, in ms.
+        clock: Source of time.
+        on_error: Receives what `function` raised.
+    """
+
+    def __init__(
+        self,
+        function: Callable[[], None],
+        interval_ms: float,
+        clock: _clock.Clock,
+        on_error: Callable[[Exception], None],
+    ) -> None:
+        self.function = function
+        self.interval_ms = interval_ms
+        self.clock = clock
+        self.on_error = on_error
+        self._thread: greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Starts the calls; the first is made at once."""
+        self._thread = eventlet.spawn(self._run)
+
+    def close(self) -> None:
+        """Stops the calls."""
+        if self._thread is not None:
+            self._thread.kill()
+            self._thread = None
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self.function()
+            except Exception as exc:
+                self.on_error(exc)
+            self.clock.sleep_ms(self.interval_ms)
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/http/__init__.py
@@ -0,0 +1,19 @@
+"""HTTP for green threads: the client and helpers for WSGI applications."""
+
+from hollycart_core.http._client import HttpClient
+from hollycart_core.http._client import HttpReply
+from hollycart_core.http._client import HttpStream
+from hollycart_core.http._server import HttpServer
+from hollycart_core.http._wsgi import json_response
+from hollycart_core.http._wsgi import read_body
+from hollycart_core.http._wsgi import respond
+
+__all__ = [
+    "HttpClient",
+    "HttpReply",
+    "HttpServer",
+    "HttpStream",
+    "json_response",
+    "read_body",
+    "respond",
+]
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/http/_server.py
@@ -0,0 +1,74 @@
+"""WSGI server with explicit start and close."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+from typing import Any
+
+import eventlet
+from eventlet import greenio
+from eventlet import wsgi
+
+_HEADER_TIMEOUT_S = 15
+_BACKLOG = 1024
+
+
+class HttpServer:
+    """Serves a WSGI application on the event loop.
+
+    Args:
+        app: The WSGI application.
+        host: IP address to listen on.
+        port: TCP port; zero takes a free one.
+        max_conns: Bound on concurrent connections.
+    """
+
+    def __init__(
+        self,
+        app: Callable[..., Iterable[bytes]],
+        host: str,
+        port: int,
+        max_conns: int = 4096,
+    ) -> None:
+        self.app = app
+        self.host = host
+        self.port = port
+        self.max_conns = max_conns
+        self._sock: Any = None
+        self._thread: Any = None
+        self._log = logging.Logger("http", level=logging.CRITICAL)
+
+    def start(self) -> None:
+        """Binds the port and starts to accept connections.
+
+        Raises:
+            OSError: If the address cannot be bound.
+        """
+        self._sock = eventlet.listen(
+            (self.host, self.port), backlog=_BACKLOG, reuse_port=False
+        )
+        self.port = self._sock.getsockname()[1]
+        self._thread = eventlet.spawn(self._serve)
+
+    def close(self) -> None:
+        """Stops accepting connections; running requests go on."""
+        if self._thread is not None:
+            self._thread.kill()
+            self._thread = None
+        if self._sock is not None:
+            greenio.shutdown_safe(self._sock)
+            self._sock.close()
+            self._sock = None
+
+    def _serve(self) -> None:
+        wsgi.server(
+            self._sock,
+            self.app,
+            log=self._log,
+            log_output=False,
+            max_size=self.max_conns,
+            minimum_chunk_size=0,
+            socket_timeout=_HEADER_TIMEOUT_S,
+            keepalive=True,
+            debug=False,
+        )
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/kv/__init__.py
@@ -0,0 +1,21 @@
+"""The platform's key-value service behind one Protocol."""
+
+from hollycart_core.kv._etcd import EtcdStore
+from hollycart_core.kv._memory import MemoryStore
+from hollycart_core.kv._types import Compare
+from hollycart_core.kv._types import KeyValue
+from hollycart_core.kv._types import KeyValueStore
+from hollycart_core.kv._types import Put
+from hollycart_core.kv._types import RangeResult
+from hollycart_core.kv._types import TxnResult
+
+__all__ = [
+    "Compare",
+    "EtcdStore",
+    "KeyValue",
+    "KeyValueStore",
+    "MemoryStore",
+    "Put",
+    "RangeResult",
+    "TxnResult",
+]
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_policy.py
@@ -0,0 +1,245 @@
+"""Placement policies: which endpoint a request goes to."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+from typing import NamedTuple
+from typing import Protocol
+
+from hollycart_core.scheduling import _endpoint
+from hollycart_core.scheduling import _types
+
+
+class Candidate(NamedTuple):
+    """An endpoint that may take the request.
+
+    Attributes:
+        account: The owner's account of the endpoint.
+        cached_tokens: Expected prefix hit of the request there, in tokens.
+    """
+
+    account: _endpoint.EndpointAccount
+    cached_tokens: int
+
+
+class PoolLoad(NamedTuple):
+    """Load of the whole pool.
+
+    Attributes:
+        short_rate: Prompt tokens of short requests arriving per ms.
+        endpoints: Number of endpoints that take new work.
+        rate: Prompt tokens that one endpoint processes per ms.
+    """
+
+    short_rate: float
+    endpoints: int
+    rate: float
+
+
+class PlacementPolicy(Protocol):
+    """Chooses an endpoint for a request.
+
+    Attributes:
+        queues: Whether requests wait at the owner and admission applies;
+            a policy that does not queue places each request at once.
+    """
+
+    queues: bool
+
+    def engine_priority(self, req: _types.PermitRequest) -> int:
+        """Returns the priority that the endpoint is given."""
+
+    def choose(
+        self,
+        req: _types.PermitRequest,
+        candidates: Sequence[Candidate],
+        load: PoolLoad,
+    ) -> Candidate | None:
+        """Returns an endpoint, or None if the request has to wait."""
+
+
+class RandomPolicy:
+    """Takes any endpoint."""
+
+    queues = False
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+
+    def engine_priority(self, req: _types.PermitRequest) -> int:
+        """Returns one level for all requests."""
+        del req
+        return 0
+
+    def choose(
+        self,
+        req: _types.PermitRequest,
+        candidates: Sequence[Candidate],
+        load: PoolLoad,
+    ) -> Candidate | None:
+        """Returns an endpoint drawn at random."""
+        del req, load
+        return self.rng.choice(candidates) if candidates else None
+
+
+class RoundRobinPolicy(RandomPolicy):
+    """Takes the endpoints in turn."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._turn = 0
+
+    def choose(
+        self,
+        req: _types.PermitRequest,
+        candidates: Sequence[Candidate],
+        load: PoolLoad,
+    ) -> Candidate | None:
+        """Returns the next endpoint in turn."""
+        del req, load
+        if not candidates:
+            return None
+        self._turn += 1
+        ordered = sorted(candidates, key=lambda c: c.account.info.endpoint_id)
+        return ordered[self._turn % len(ordered)]
+
+
+class LeastPolicy(RandomPolicy):
+    """Takes the endpoint with the least of some measure of load.
+
+    Args:
+        rng: Source of randomness for ties.
+        load_of: The measure.
+    """
+
+    def __init__(
+        self, rng: random.Random, load_of: Callable[[Candidate], float]
+    ) -> None:
+        super().__init__(rng)
+        self.load_of = load_of
+
+    def choose(
+        self,
+        req: _types.PermitRequest,
+        candidates: Sequence[Candidate],
+        load: PoolLoad,
+    ) -> Candidate | None:
+        """Returns the least loaded endpoint."""
+        del req, load
+        if not candidates:
+            return None
+        return min(
+            candidates, key=lambda c: (self.load_of(c), self.rng.random())
+        )
+
+
+class SplitPolicy:
+    """Keeps short requests apart from long prefill as far as load allows.
+
+    A request waits at the owner until an endpoint can start it soon. Short
+    requests go where the least work of their priority or above is pending
+    and avoid endpoints in the middle of long prefill. Long prefill runs one
+    at a time per endpoint, on as many endpoints as the short load leaves.
+
+    Args:
+        rng: Source of randomness for ties.
+        short_utilization: Utilization that the endpoints kept for short
+            requests may reach; lower values protect short requests more.
+        backlog_ms: Work of its priority or above that may be pending at an
+            endpoint before a request waits at the owner instead, in ms.
+    """
+
+    queues = True
+
+    def __init__(
+        self,
+        rng: random.Random,
+        short_utilization: float = 0.5,
+        backlog_ms: float = 150.0,
+    ) -> None:
+        self.rng = rng
+        self.short_utilization = short_utilization
+        self.backlog_ms = backlog_ms
+
+    def engine_priority(self, req: _types.PermitRequest) -> int:
+        """Returns the size band, one more for patient rows."""
+        return req.size_band + (1 if req.priority >= 2 else 0)
+
+    def choose(
+        self,
+        req: _types.PermitRequest,
+        candidates: Sequence[Candidate],
+        load: PoolLoad,
+    ) -> Candidate | None:
+        """Returns the endpoint with the earliest expected first token."""
+        priority = self.engine_priority(req)
+        usable = candidates
+        if not req.is_short:
+            usable = self._open_for_long(candidates, load)
+        usable = [c for c in usable if self._can_start(c, req, priority)]
+        if not usable:
+            return None
+        return min(
+            usable,
+            key=lambda c: (
+                self._expected_tokens(c, req, priority),
+                self.rng.random(),
+            ),
+        )
+
+    def reserve(self, load: PoolLoad) -> int:
+        """Returns how many endpoints are kept free of long prefill."""
+        if load.endpoints <= 1 or load.short_rate <= 0:
+            return 0
+        busy = load.short_rate / (load.rate * self.short_utilization)
+        return min(load.endpoints // 2, max(1, round(busy)))
+
+    def _open_for_long(
+        self, candidates: Sequence[Candidate], load: PoolLoad
+    ) -> list[Candidate]:
+        in_long = [c for c in candidates if _long_prefill(c) > 0]
+        open_slots = load.endpoints - self.reserve(load) - len(in_long)
+        if open_slots <= 0:
+            return []
+        return [c for c in candidates if _long_prefill(c) <= 0]
+
+    def _can_start(
+        self, candidate: Candidate, req: _types.PermitRequest, priority: int
+    ) -> bool:
+        account = candidate.account
+        ahead = account.prefill_ahead(priority)
+        if req.is_short:
+            return ahead <= self.backlog_ms * account.rate
+        return ahead <= _endpoint.CHUNK_TOKENS
+
+    def _expected_tokens(
+        self, candidate: Candidate, req: _types.PermitRequest, priority: int
+    ) -> float:
+        account = candidate.account
+        own = max(0, req.prompt_tokens - candidate.cached_tokens)
+        ahead = account.prefill_ahead(priority)
+        behind = account.prefill_behind(priority)
+        step = min(_endpoint.CHUNK_TOKENS, behind)
+        return own + ahead + step
+
+
+def _long_prefill(candidate: Candidate) -> float:
+    account = candidate.account
+    return account.prefill_ahead(99) - account.prefill_ahead(0)
+
+
+POLICIES: dict[str, Callable[[random.Random], PlacementPolicy]] = {
+    "split": SplitPolicy,
+    "random": RandomPolicy,
+    "round-robin": RoundRobinPolicy,
+    "least-requests": lambda rng: LeastPolicy(
+        rng, lambda c: c.account.requests
+    ),
+    "least-tokens": lambda rng: LeastPolicy(
+        rng, lambda c: c.account.outstanding_tokens
+    ),
+    "prefix-affinity": lambda rng: LeastPolicy(
+        rng,
+        lambda c: (-c.cached_tokens, c.account.requests),  # type: ignore[arg-type,return-value]
+    ),
+}
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
@@ -0,0 +1,343 @@
+"""The scheduler of one pool: queue, permits and memory of its endpoints."""
+
+import collections
+from collections.abc import Iterable
+
+from hollycart_core import base
+from hollycart_core.scheduling import _endpoint
+from hollycart_core.scheduling import _fair_queue
+from hollycart_core.scheduling import _policy
+from hollycart_core.scheduling import _prefix_index
+from hollycart_core.scheduling import _rate_limiter
+from hollycart_core.scheduling import _types
+
+DECODE_COST = 4.0  # prompt tokens of work per answer token
+PERMIT_LIFETIME_MS = 6_000.0
+MIN_RETRY_AFTER_MS = 1_000.0
+_RATE_WINDOW_MS = 10_000.0
+_MEMORY_SHARE = 0.9  # of an endpoint, for one share of a large prompt
+
+
+class Pool:
+    """Orders the load of the endpoints of one model in one cell.
+
+    All methods take the time and do no input or output. A permit only orders
+    load: two owners of one pool at once cost quality, never correctness.
+
+    Args:
+        policy: The placement policy.
+
+    Example:
+        >>> import random
+        >>> pool = Pool(_policy.SplitPolicy(random.Random(1)))
+        >>> pool.set_endpoints([_types.EndpointInfo("e", "h:1", 9000)])
+        >>> ask = _types.PermitRequest("1", "i", "t", "k", 1, 0, 99, 9, 5e3)
+        >>> pool.submit(ask, now_ms=0.0)
+        []
+        >>> [answer.endpoint_ids for answer in pool.dispatch(now_ms=0.0)]
+        [('e',)]
+    """
+
+    def __init__(self, policy: _policy.PlacementPolicy) -> None:
+        self.policy = policy
+        self.queue = _fair_queue.FairQueue()
+        self.index = _prefix_index.PrefixIndex()
+        self.accounts: dict[str, _endpoint.EndpointAccount] = {}
+        self._limiter = _rate_limiter.RateLimiter()
+        self._live: dict[str, _types.LivePermit] = {}
+        self._expires: dict[str, float] = {}
+        self._running: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._short_tokens: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+
+    @property
+    def live(self) -> dict[str, _types.LivePermit]:
+        """Live permits by id."""
+        return self._live
+
+    def set_endpoints(self, infos: Iterable[_types.EndpointInfo]) -> None:
+        """Replaces the endpoints; accounts of those that stay are kept."""
+        wanted = {info.endpoint_id: info for info in infos}
+        for gone in set(self.accounts) - set(wanted):
+            del self.accounts[gone]
+            self.index.forget_endpoint(gone)
+        for endpoint_id, info in wanted.items():
+            account = self.accounts.get(endpoint_id)
+            if account is None:
+                account = _endpoint.EndpointAccount(info)
+                self.accounts[endpoint_id] = account
+                self._restore(account)
+            account.info = info
+
+    def submit(
+        self, req: _types.PermitRequest, now_ms: float
+    ) -> list[_types.Refusal]:
+        """Queues a request or refuses it at once.
+
+        Returns:
+            The refusal, if any; a queued request is answered by `dispatch`.
+        """
+        refusal = self._refusal(req, now_ms)
+        if refusal is not None:
+            return [refusal]
+        if req.is_short:
+            self._short_tokens.append((now_ms, req.prompt_tokens))
+        item = _fair_queue.QueuedRequest(
+            req, _work(req), now_ms + req.time_left_ms, now_ms
+        )
+        self.queue.push(item)
+        return []
+
+    def dispatch(self, now_ms: float) -> list[_types.Answer]:
+        """Places waiting requests and gives up on those out of time.
+
+        Returns:
+            Permits and refusals in the order of the decisions.
+        """
+        answers: list[_types.Answer] = list(self._give_up(now_ms))
+        placed = True
+        while placed and self.queue.length:
+            placed = False
+            for item in self.queue.heads():
+                permit = self._place(item.req, now_ms)
+                if permit is not None:
+                    self.queue.take(item)
+                    answers.append(permit)
+                    placed = True
+                    break
+        return answers
+
+    def cancel(self, permit_id: str) -> None:
+        """Forgets a waiting request."""
+        self.queue.remove_if(lambda item: item.req.permit_id == permit_id)
+
+    def mark_first_token(
+        self, permit_id: str, cached_tokens: int, now_ms: float
+    ) -> None:
+        """Notes that the first token of a permit has been seen."""
+        live = self._live.get(permit_id)
+        if live is None or live.first_token_seen:
+            return
+        self._live[permit_id] = live._replace(first_token_seen=True)
+        for endpoint_id in live.permit.endpoint_ids:
+            account = self.accounts.get(endpoint_id)
+            if account is not None:
+                account.mark_first_token(permit_id, now_ms)
+                self.index.correct(
+                    endpoint_id,
+                    live.request.prefix_hashes,
+                    cached_tokens,
+                    now_ms,
+                )
+
+    def release(self, permit_id: str, now_ms: float) -> None:
+        """Ends a permit; unknown ids are ignored."""
+        live = self._live.pop(permit_id, None)
+        self._expires.pop(permit_id, None)
+        if live is None:
+            return
+        self._running[live.request.team, live.request.kind] -= 1
+        for endpoint_id in live.permit.endpoint_ids:
+            account = self.accounts.get(endpoint_id)
+            if account is not None:
+                account.remove(permit_id, now_ms)
+
+    def present(
+        self, lives: Iterable[_types.LivePermit], now_ms: float
+    ) -> None:
+        """Renews permits; those of a former owner are taken over."""
+        for live in lives:
+            permit_id = live.permit.permit_id
+            self._expires[permit_id] = now_ms + PERMIT_LIFETIME_MS
+            if permit_id not in self._live:
+                self._add(live, now_ms)
+            elif live.first_token_seen:
+                self.mark_first_token(
+                    permit_id, live.permit.cached_tokens, now_ms
+                )
+
+    def expire(self, now_ms: float) -> list[str]:
+        """Ends permits that were not renewed and returns their ids."""
+        lapsed = [k for k, at in self._expires.items() if at <= now_ms]
+        for permit_id in lapsed:
+            self.release(permit_id, now_ms)
+        return lapsed
+
+    def reconcile(
+        self, report: _types.EndpointReport, now_ms: float
+    ) -> list[str]:
+        """Corrects an account by the endpoint's report.
+
+        Returns:
+            Attempt ids held by the endpoint without a permit.
+        """
+        account = self.accounts.get(report.endpoint_id)
+        if account is None:
+            return []
+        return account.reconcile(report, now_ms)
+
+    def drain_rate(self) -> float:
+        """Returns prompt tokens that the pool processes per ms."""
+        return sum(a.rate for a in self.accounts.values() if not a.info.leaving)
+
+    def _refusal(
+        self, req: _types.PermitRequest, now_ms: float
+    ) -> _types.Refusal | None:
+        if not self.policy.queues or req.resumed:
+            return None
+        rate = self.drain_rate()
+        if rate <= 0:
+            return _types.Refusal(
+                req.permit_id, "overloaded", MIN_RETRY_AFTER_MS
+            )
+        expected_ms = self._expected_ms(req, now_ms, rate)
+        if expected_ms > req.time_left_ms:
+            excess_ms = expected_ms - req.time_left_ms
+            return _types.Refusal(
+                req.permit_id,
+                "overloaded",
+                max(MIN_RETRY_AFTER_MS, excess_ms),
+            )
+        row = f"{req.team}/{req.kind}"
+        wait_ms = self._limiter.acquire(
+            row, req.memory_tokens, req.tokens_per_minute, now_ms
+        )
+        if wait_ms > 0:
+            return _types.Refusal(req.permit_id, "rate_limited", wait_ms)
+        return None
+
+    def _expected_ms(
+        self, req: _types.PermitRequest, now_ms: float, rate: float
+    ) -> float:
+        ahead = self.queue.work_ahead(req.team, req.kind, req.weight)
+        level = self.policy.engine_priority(req)
+        for account in self.accounts.values():
+            account.advance(now_ms)
+            if not account.info.leaving:
+                ahead += account.prefill_ahead(level)
+        return ahead / rate + self._service_ms(req)
+
+    def _service_ms(self, req: _types.PermitRequest) -> float:
+        rate = self.drain_rate() / max(1, len(self.accounts))
+        return req.prompt_tokens / max(rate, 0.001) / self._shares(req)
+
+    def _shares(self, req: _types.PermitRequest) -> int:
+        capacity = min(
+            (a.info.capacity_tokens for a in self.accounts.values()),
+            default=0,
+        )
+        if capacity <= 0 or req.memory_tokens <= capacity:
+            return 1
+        return -(-req.memory_tokens // int(capacity * _MEMORY_SHARE))
+
+    def _give_up(self, now_ms: float) -> list[_types.Refusal]:
+        if not self.policy.queues:
+            return []
+        late = self.queue.remove_if(
+            lambda i: now_ms + self._service_ms(i.req) > i.deadline_ms
+        )
+        rate = max(0.001, self.drain_rate())
+        retry_ms = max(MIN_RETRY_AFTER_MS, self.queue.queued_work / rate)
+        return [
+            _types.Refusal(i.req.permit_id, "overloaded", retry_ms)
+            for i in late
+        ]
+
+    def _place(
+        self, req: _types.PermitRequest, now_ms: float
+    ) -> _types.Permit | None:
+        if self._running[req.team, req.kind] >= req.max_running:
+            return None
+        shares = self._shares(req)
+        if shares > 1:
+            return self._place_shares(req, shares, now_ms)
+        candidates = self._candidates(req, req.memory_tokens, now_ms)
+        chosen = self.policy.choose(req, candidates, self._load(now_ms))
+        if chosen is None:
+            return None
+        return self._grant(req, [chosen], now_ms)
+
+    def _place_shares(
+        self, req: _types.PermitRequest, shares: int, now_ms: float
+    ) -> _types.Permit | None:
+        need = -(-req.memory_tokens // shares)
+        candidates = self._candidates(req, need, now_ms)
+        if len(candidates) < shares:
+            return None
+        candidates.sort(key=lambda c: c.account.prefill_ahead(99))
+        chosen = candidates[:shares]
+        chosen.sort(key=lambda c: c.account.info.endpoint_id)
+        return self._grant(req, chosen, now_ms)
+
+    def _candidates(
+        self, req: _types.PermitRequest, need: int, now_ms: float
+    ) -> list[_policy.Candidate]:
+        found = []
+        for endpoint_id, account in self.accounts.items():
+            if account.info.leaving or endpoint_id in req.excluded:
+                continue
+            if self.policy.queues and account.free_tokens < need:
+                continue
+            account.advance(now_ms)
+            hit = self.index.match(endpoint_id, req.prefix_hashes, now_ms)
+            found.append(
+                _policy.Candidate(account, min(hit, req.prompt_tokens))
+            )
+        return found
+
+    def _grant(
+        self,
+        req: _types.PermitRequest,
+        chosen: list[_policy.Candidate],
+        now_ms: float,
+    ) -> _types.Permit:
+        permit = _types.Permit(
+            req.permit_id,
+            tuple(c.account.info.endpoint_id for c in chosen),
+            self.policy.engine_priority(req),
+            min(c.cached_tokens for c in chosen),
+        )
+        base.check_invariant(
+            "pool.no_grant_to_leaving",
+            not any(c.account.info.leaving for c in chosen),
+            req.permit_id,
+        )
+        self._add(_types.LivePermit(req, permit, False), now_ms)
+        self._expires[req.permit_id] = now_ms + PERMIT_LIFETIME_MS
+        for endpoint_id in permit.endpoint_ids:
+            self.index.add(endpoint_id, req.prefix_hashes, now_ms)
+        return permit
+
+    def _add(self, live: _types.LivePermit, now_ms: float) -> None:
+        permit_id = live.permit.permit_id
+        base.check_invariant(
+            "pool.permit_once", permit_id not in self._live, permit_id
+        )
+        self._live[permit_id] = live
+        self._running[live.request.team, live.request.kind] += 1
+        for endpoint_id in live.permit.endpoint_ids:
+            account = self.accounts.get(endpoint_id)
+            if account is not None:
+                account.add(live, live.permit.cached_tokens, now_ms)
+
+    def _restore(self, account: _endpoint.EndpointAccount) -> None:
+        endpoint_id = account.info.endpoint_id
+        for live in self._live.values():
+            if endpoint_id in live.permit.endpoint_ids:
+                account.add(live, live.permit.cached_tokens, 0.0)
+
+    def _load(self, now_ms: float) -> _policy.PoolLoad:
+        window = self._short_tokens
+        while window and window[0][0] < now_ms - _RATE_WINDOW_MS:
+            window.popleft()
+        tokens = sum(t for _, t in window)
+        usable = [a for a in self.accounts.values() if not a.info.leaving]
+        rate = sum(a.rate for a in usable) / max(1, len(usable))
+        return _policy.PoolLoad(tokens / _RATE_WINDOW_MS, len(usable), rate)
+
+
+def _work(req: _types.PermitRequest) -> float:
+    return req.prompt_tokens + DECODE_COST * req.output_tokens
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/streams/__init__.py
@@ -0,0 +1,6 @@
+"""Frames of streamed answers and their order."""
+
+from hollycart_core.streams._assembler import StreamAssembler
+from hollycart_core.streams._frame import Frame
+
+__all__ = ["Frame", "StreamAssembler"]
--- /dev/null
+++ b/packages/hollycart/src/hollycart/__init__.py
@@ -0,0 +1,1 @@
+"""The hollycart entry instance."""
--- /dev/null
+++ b/packages/hollycart/src/hollycart/endpoints/_sse.py
@@ -0,0 +1,91 @@
+"""Decodes server-sent events of an engine into frames."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import msgspec
+
+from hollycart_core import base
+from hollycart_core import streams
+
+_MAX_EVENT_BYTES = 1 << 20
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+    finish_reason: str | None = None
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class _Event(msgspec.Struct):
+    id: str = ""
+    offset: int = -1
+    choices: list[_Choice] = []
+    usage: _Usage = msgspec.field(default_factory=_Usage)
+
+
+class EngineFrame(NamedTuple):
+    """A frame with the usage that the engine reports so far.
+
+    Attributes:
+        frame: The frame.
+        prompt_tokens: Length of the prompt as the engine counts it.
+        cached_tokens: Prompt tokens found in the prefix cache.
+        finish_reason: Why the answer ended; empty before the end.
+    """
+
+    frame: streams.Frame
+    prompt_tokens: int
+    cached_tokens: int
+    finish_reason: str
+
+
+_DECODER = msgspec.json.Decoder(_Event)
+
+
+def parse_events(chunks: Iterable[bytes]) -> Iterator[EngineFrame]:
+    r"""Yields the frames of a stream; comments and `[DONE]` are skipped.
+
+    Raises:
+        EndpointFailedError: If an event is malformed or too long.
+
+    Example:
+        >>> data = b'data: {"id":"a","offset":0,"choices":[{"text":"x"}]}'
+        >>> [f.frame.tokens for f in parse_events([data, b"\n\n"])]
+        [('x',)]
+    """
+    pending = b""
+    for chunk in chunks:
+        pending += chunk
+        *lines, pending = pending.split(b"\n")
+        if len(pending) > _MAX_EVENT_BYTES:
+            raise base.EndpointFailedError("event too long")
+        for line in lines:
+            if line.startswith(b"data: {"):
+                yield _parse(line[6:])
+
+
+def _parse(data: bytes) -> EngineFrame:
+    try:
+        event = _DECODER.decode(data)
+    except msgspec.DecodeError as exc:
+        raise base.EndpointFailedError(f"event: {exc}") from exc
+    choice = event.choices[0] if event.choices else _Choice()
+    frame = streams.Frame(
+        event.id,
+        event.offset,
+        (choice.text,),
+        choice.finish_reason is not None,
+    )
+    return EngineFrame(
+        frame,
+        event.usage.prompt_tokens,
+        event.usage.cached_tokens,
+        choice.finish_reason or "",
+    )
--- /dev/null
+++ b/packages/hollycart/src/hollycart/entry/_admin.py
@@ -0,0 +1,76 @@
+"""The operators' interface of an instance."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from hollycart.entry import _auth
+from hollycart_core import base
+from hollycart_core import http
+from hollycart_core import table
+
+PREFIX = "/admin/"
+_BODY_LIMIT = 4 << 20  # bytes
+
+
+class AdminHandler:
+    """Serves `/admin/status`, `/admin/histograms`, `table` and `drain`.
+
+    Args:
+        operator_key_digest: SHA-256 of the operators' key.
+        read_status: Returns the state of the instance.
+        read_histograms: Returns the histograms.
+        offer_deltas: Takes committed steps of the table.
+        start_drain: Begins a graceful shutdown.
+    """
+
+    def __init__(
+        self,
+        operator_key_digest: str,
+        read_status: Callable[[], dict[str, Any]],
+        read_histograms: Callable[[], list[dict[str, Any]]],
+        offer_deltas: Callable[[list[table.Delta]], None],
+        start_drain: Callable[[], None],
+    ) -> None:
+        self.operator_key_digest = operator_key_digest
+        self.read_status = read_status
+        self.read_histograms = read_histograms
+        self.offer_deltas = offer_deltas
+        self.start_drain = start_drain
+
+    def handle(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Answers one request of an operator.
+
+        Raises:
+            UnauthorizedError: If the operators' key is wrong.
+            NotFoundError: If the path does not exist.
+        """
+        _auth.check_operator(environ, self.operator_key_digest)
+        route = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        if route == ("GET", "/admin/status"):
+            return http.json_response(start_response, 200, self.read_status())
+        if route == ("GET", "/admin/histograms"):
+            return http.json_response(
+                start_response, 200, self.read_histograms()
+            )
+        if route == ("POST", "/admin/table"):
+            return self._take_table(environ, start_response)
+        if route == ("POST", "/admin/drain"):
+            self.start_drain()
+            return http.json_response(start_response, 200, {})
+        raise base.NotFoundError(environ["PATH_INFO"][:128])
+
+    def _take_table(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        data = http.read_body(environ, _BODY_LIMIT)
+        try:
+            deltas = msgspec.json.decode(data, type=list[table.Delta])
+        except msgspec.DecodeError as exc:
+            raise base.InvalidRequestError(str(exc)) from exc
+        self.offer_deltas(deltas)
+        return http.json_response(start_response, 200, {})
--- /dev/null
+++ b/packages/hollycart/src/hollycart/entry/_app.py
@@ -0,0 +1,165 @@
+"""The WSGI application of an entry instance."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+
+from hollycart import observe
+from hollycart.entry import _admin
+from hollycart.entry import _auth
+from hollycart.entry import _completions
+from hollycart.entry import _directory
+from hollycart.entry import _lifecycle
+from hollycart.entry import _service_calls
+from hollycart_core import base
+from hollycart_core import http
+from hollycart_core import table
+
+_COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
+
+
+class EntryApp:
+    """Routes the requests of callers and operators.
+
+    Args:
+        follower: The table in force.
+        directory: Instances and endpoints.
+        completions: Serves completions.
+        service_calls: Serves calls to plain services.
+        admin: Serves operators.
+        lifecycle: Readiness and requests in progress.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        follower: table.TableFollower,
+        directory: _directory.Directory,
+        completions: _completions.CompletionHandler,
+        service_calls: _service_calls.ServiceHandler,
+        admin: _admin.AdminHandler,
+        lifecycle: _lifecycle.Lifecycle,
+        metrics: observe.Metrics,
+    ) -> None:
+        self.follower = follower
+        self.directory = directory
+        self.completions = completions
+        self.service_calls = service_calls
+        self.admin = admin
+        self.lifecycle = lifecycle
+        self.metrics = metrics
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Answers one request."""
+        path = environ["PATH_INFO"]
+        if path in ("/healthz", "/readyz"):
+            return self._health(path, start_response)
+        start = self._closing(start_response)
+        self.lifecycle.enter()
+        try:
+            body = self._route(path, environ, start)
+        except base.HollycartError as exc:
+            self.lifecycle.leave()
+            self.metrics.count(f"error.{exc.code}")
+            return _error(start, exc)
+        except BaseException:
+            self.lifecycle.leave()
+            self.metrics.count("error.unexpected")
+            raise
+        return _Counted(body, self.lifecycle.leave)
+
+    def _route(
+        self, path: str, environ: dict[str, Any], start_response: Any
+    ) -> Iterator[bytes]:
+        if path.startswith(_admin.PREFIX):
+            return iter(self.admin.handle(environ, start_response))
+        if path in _COMPLETION_PATHS:
+            if environ["REQUEST_METHOD"] != "POST":
+                raise base.MethodNotAllowedError("POST only")
+            self._check_ready()
+            caller = _auth.authenticate(environ, self.follower.current)
+            self.metrics.count("request.completion")
+            return self.completions.handle(environ, start_response, caller)
+        if path.startswith(_service_calls.PREFIX):
+            self._check_ready()
+            caller = _auth.authenticate(environ, self.follower.current)
+            self.metrics.count("request.service")
+            return self.service_calls.handle(environ, start_response, caller)
+        if path == "/v1/models":
+            return iter(self._models(environ, start_response))
+        raise base.NotFoundError(path[:128])
+
+    def _check_ready(self) -> None:
+        if not self.lifecycle.serving:
+            raise base.OverloadedError("not ready", retry_after_ms=1000.0)
+
+    def _health(self, path: str, start_response: Any) -> Iterable[bytes]:
+        ok = path == "/healthz" or self.lifecycle.ready
+        status = 200 if ok else 503
+        return http.json_response(start_response, status, {"ok": ok})
+
+    def _models(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        if environ["REQUEST_METHOD"] != "GET":
+            raise base.MethodNotAllowedError("GET only")
+        digest = _auth.key_digest(_auth.bearer_key(environ))
+        if digest not in self.follower.current.teams_by_digest:
+            raise base.UnauthorizedError("unknown bearer key")
+        data = [
+            {"id": m, "object": "model", "owned_by": "hollycart"}
+            for m in self.directory.models()
+        ]
+        return http.json_response(
+            start_response, 200, {"object": "list", "data": data}
+        )
+
+    def _closing(self, start_response: Any) -> Any:
+        """Asks callers to reconnect elsewhere while the instance drains."""
+
+        def start(status: str, headers: list[tuple[str, str]]) -> Any:
+            if self.lifecycle.draining:
+                headers = [*headers, ("Connection", "close")]
+            return start_response(status, headers)
+
+        return start
+
+
+class _Counted:
+    """Passes a body on and reports its end once."""
+
+    def __init__(
+        self, body: Iterator[bytes], on_end: Callable[[], None]
+    ) -> None:
+        self.body = body
+        self.on_end: Callable[[], None] | None = on_end
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self.body
+
+    def close(self) -> None:
+        """Ends the body, also when the caller has gone."""
+        on_end, self.on_end = self.on_end, None
+        try:
+            close = getattr(self.body, "close", None)
+            if close is not None:
+                close()
+        finally:
+            if on_end is not None:
+                on_end()
+
+
+def _error(start_response: Any, exc: base.HollycartError) -> list[bytes]:
+    headers = []
+    if exc.retry_after_ms is not None:
+        seconds = max(1, -(-int(exc.retry_after_ms) // 1000))
+        headers.append(("Retry-After", str(seconds)))
+    if isinstance(exc, base.NotRunError):
+        headers.append(("Hollycart-Outcome", "not-run"))
+    if isinstance(exc, base.OutcomeUnknownError):
+        headers.append(("Hollycart-Outcome", "unknown"))
+    value = {"error": _completions.error_value(exc)}
+    return http.json_response(start_response, exc.http_status, value, headers)
--- /dev/null
+++ b/packages/hollycart/src/hollycart/entry/_request.py
@@ -0,0 +1,164 @@
+"""Parses and validates completion requests."""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from hollycart_core import base
+
+BLOCK_BYTES = 4096
+MAX_BLOCKS = 256
+_DEFAULT_MAX_TOKENS = 128
+_MAX_OUTPUT_TOKENS = 65_536
+_QUOTE = 0x22
+_FORBIDDEN = ("request_id", "resume_from", "priority", "shares")
+
+
+class CompletionRequest(NamedTuple):
+    """A validated request; the prompt is kept as the bytes received.
+
+    Attributes:
+        path: Path at the engine, `/v1/completions` or the chat path.
+        model: The model.
+        fields: All fields of the body, undecoded.
+        stream: Whether the caller wants server-sent events.
+        include_usage: Whether the stream is to end with the usage.
+        max_tokens: Bound on the answer, in tokens.
+        prompt_bytes: Length of the prompt as received, in bytes.
+        prefix_hashes: Chained hashes of the prompt's leading blocks.
+    """
+
+    path: str
+    model: str
+    fields: dict[str, msgspec.Raw]
+    stream: bool
+    include_usage: bool
+    max_tokens: int
+    prompt_bytes: int
+    prefix_hashes: tuple[int, ...]
+
+    @property
+    def is_chat(self) -> bool:
+        """Whether the chat form was used."""
+        return self.path.endswith("/chat/completions")
+
+    def engine_body(
+        self, attempt_id: str, priority: int, offset: int, shares: list[str]
+    ) -> bytes:
+        """Returns the body of one attempt at an engine."""
+        fields: dict[str, Any] = dict(self.fields)
+        fields["request_id"] = attempt_id
+        fields["priority"] = priority
+        fields["stream"] = True
+        fields["max_tokens"] = self.max_tokens
+        if offset:
+            fields["resume_from"] = offset
+        if shares:
+            fields["shares"] = shares
+        return msgspec.json.encode(fields)
+
+
+class _Fields(msgspec.Struct):
+    model: str = ""
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int = 1
+    stream_options: dict[str, Any] = {}
+
+
+def parse_completion(path: str, body: bytes) -> CompletionRequest:
+    """Parses a body without decoding the prompt.
+
+    Args:
+        path: Path of the request.
+        body: The body.
+
+    Returns:
+        The request.
+
+    Raises:
+        InvalidRequestError: Saying which field is wrong.
+
+    Example:
+        >>> body = b'{"model":"m","prompt":"hi","max_tokens":4}'
+        >>> parse_completion("/v1/completions", body).max_tokens
+        4
+    """
+    try:
+        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise base.InvalidRequestError(f"body: {exc}") from exc
+    name = "messages" if path.endswith("/chat/completions") else "prompt"
+    small = {k: v for k, v in fields.items() if k != name}
+    try:
+        known = msgspec.json.decode(msgspec.json.encode(small), type=_Fields)
+    except msgspec.DecodeError as exc:
+        raise base.InvalidRequestError(f"body: {exc}") from exc
+    for field in _FORBIDDEN:
+        if field in fields:
+            raise base.InvalidRequestError(f"{field}: is not allowed")
+    raw = bytes(fields.get(name, b""))
+    _check_prompt(name, raw)
+    if not known.model:
+        raise base.InvalidRequestError("model: is required")
+    if known.n != 1:
+        raise base.InvalidRequestError("n: only 1 is supported")
+    max_tokens = known.max_completion_tokens or known.max_tokens
+    if max_tokens is None:
+        max_tokens = _DEFAULT_MAX_TOKENS
+    if not 1 <= max_tokens <= _MAX_OUTPUT_TOKENS:
+        raise base.InvalidRequestError(
+            f"max_tokens: not from 1 to {_MAX_OUTPUT_TOKENS}"
+        )
+    return CompletionRequest(
+        path,
+        known.model,
+        fields,
+        known.stream,
+        known.stream_options.get("include_usage") is True,
+        max_tokens,
+        len(raw) - 2,
+        _prefix_hashes(raw),
+    )
+
+
+def parse_deadline_ms(headers: Mapping[str, Any], limit_ms: int) -> float:
+    """Returns the caller's time limit, at most that of its row, in ms.
+
+    Raises:
+        InvalidRequestError: If the header is not a positive number.
+    """
+    text = headers.get("HTTP_HOLLYCART_DEADLINE_MS", "")
+    if not text:
+        return float(limit_ms)
+    if not (text.isascii() and text.isdigit()) or len(text) > 12:
+        raise base.InvalidRequestError("Hollycart-Deadline-Ms")
+    if int(text) < 1:
+        raise base.InvalidRequestError("Hollycart-Deadline-Ms")
+    return float(min(int(text), limit_ms))
+
+
+def _check_prompt(name: str, raw: bytes) -> None:
+    if name == "prompt":
+        if len(raw) < 3 or raw[0] != _QUOTE:
+            raise base.InvalidRequestError("prompt: a non-empty text")
+    elif raw[:1] != b"[" or len(raw) < 3:
+        raise base.InvalidRequestError("messages: a non-empty list")
+
+
+def _prefix_hashes(raw: bytes) -> tuple[int, ...]:
+    view = memoryview(raw)[1:-1]
+    hashes = []
+    chained = 0
+    blocks = min(MAX_BLOCKS, len(view) // BLOCK_BYTES)
+    for number in range(blocks):
+        start = number * BLOCK_BYTES
+        chained = xxhash.xxh64_intdigest(
+            view[start : start + BLOCK_BYTES], seed=chained
+        )
+        hashes.append(chained)
+    return tuple(hashes)
--- /dev/null
+++ b/packages/hollycart/src/hollycart/entry/_table_sync.py
@@ -0,0 +1,160 @@
+"""Keeps the table in force up to date."""
+
+import eventlet
+
+from hollycart import observe
+from hollycart import peers
+from hollycart.entry import _directory
+from hollycart_core import base
+from hollycart_core import kv
+from hollycart_core import table
+
+_WATCHERS = 2  # instances of a cell that watch the key-value service
+_WATCH_MS = 60_000
+_RETRY_MS = 500
+_PULL_TIMEOUT_MS = 1000
+
+
+class TableSync:
+    """Takes new versions from the key-value service and from peers.
+
+    Two instances of a cell watch the service; the others learn of a new
+    revision by the exchange of heartbeats and fetch the steps from a peer.
+
+    Args:
+        store: The key-value service.
+        tables: The stored table.
+        follower: The version in force.
+        directory: Other instances.
+        peer_client: Calls other instances.
+        clock: Source of time.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        store: kv.KeyValueStore,
+        tables: table.TableStore,
+        follower: table.TableFollower,
+        directory: _directory.Directory,
+        peer_client: peers.PeerClient,
+        clock: base.Clock,
+        metrics: observe.Metrics,
+    ) -> None:
+        self.store = store
+        self.tables = tables
+        self.follower = follower
+        self.directory = directory
+        self.peer_client = peer_client
+        self.clock = clock
+        self.metrics = metrics
+        self.loaded = False
+        self._watch_revision = 0
+
+    def load(self) -> bool:
+        """Loads the table once at start.
+
+        The key-value service is authoritative; while it does not answer,
+        every reachable instance is asked, and at least one must answer.
+
+        Returns:
+            Whether a table is in force.
+        """
+        if self._read_store() or self._pull_from_all():
+            self.loaded = True
+        return self.loaded
+
+    def watch_once(self) -> None:
+        """Waits for a change if this instance is one of the watchers."""
+        if not self._is_watcher():
+            self.clock.sleep_ms(_RETRY_MS)
+            return
+        try:
+            changed = self.store.watch(
+                table.PREFIX, self._watch_revision, _WATCH_MS
+            )
+        except base.KvUnavailableError:
+            self.metrics.count("table.watch_failed")
+            self.clock.sleep_ms(_RETRY_MS)
+            return
+        if changed:
+            self._read_store()
+
+    def pull_if_behind(self) -> None:
+        """Fetches steps from a peer that has a newer revision."""
+        revisions = self.directory.view.known_revisions()
+        ahead = {
+            i: r
+            for i, r in revisions.items()
+            if r > self.follower.current.revision
+            and self.directory.peer_alive(i)
+        }
+        if ahead:
+            self._pull(max(ahead, key=lambda i: ahead[i]))
+
+    def handle_query(self, query: peers.TableQuery) -> peers.TableReply:
+        """Answers a peer that is behind."""
+        current = self.follower.current
+        deltas = self.follower.deltas_since(query.revision)
+        if query.revision >= current.revision:
+            deltas = []
+        if deltas is not None:
+            return peers.TableReply(current.revision, tuple(deltas))
+        rows = current.rows.values()
+        return peers.TableReply(
+            current.revision,
+            (),
+            tuple(r for r in rows if isinstance(r, table.LimitRow)),
+            tuple(r for r in rows if isinstance(r, table.TeamRow)),
+            whole=True,
+        )
+
+    def offer_deltas(self, deltas: list[table.Delta]) -> None:
+        """Takes steps that an operator's command has committed."""
+        if not self.follower.offer_deltas(deltas):
+            self._read_store()
+
+    def _is_watcher(self) -> bool:
+        now_ms = self.clock.now_ms()
+        view = self.directory.view
+        order = base.rank("table-watch", view.live(now_ms))
+        return view.own.entry_id in order[:_WATCHERS]
+
+    def _read_store(self) -> bool:
+        try:
+            found = self.store.range(table.PREFIX)
+            current = self.tables.read()
+        except base.KvUnavailableError:
+            self.metrics.count("table.read_failed")
+            return False
+        if found.items:
+            self._watch_revision = max(i.mod_revision for i in found.items)
+        if self.follower.offer(current):
+            self.metrics.count("table.applied")
+        return True
+
+    def _pull_from_all(self) -> bool:
+        answered = False
+        for instance_id in self.directory.view.reachable(self.clock.now_ms()):
+            answered = self._pull(instance_id) or answered
+            eventlet.sleep(0)
+        return answered and self.follower.current.revision > 0
+
+    def _pull(self, instance_id: str) -> bool:
+        query = peers.TableQuery(self.follower.current.revision)
+        try:
+            reply = self.peer_client.call(
+                self.directory.peer_address(instance_id),
+                peers.TABLE,
+                query,
+                _PULL_TIMEOUT_MS,
+            )
+        except base.PeerUnreachableError:
+            return False
+        if reply.whole:
+            rows = (*reply.limits, *reply.teams)
+            self.follower.offer(table.Table.build(reply.revision, rows))
+        else:
+            self.follower.offer_deltas(reply.deltas)
+        self.metrics.count("table.pulled")
+        return True
--- /dev/null
+++ b/packages/hollycart/src/hollycart/peers/_server.py
@@ -0,0 +1,101 @@
+"""Server for calls between instances."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import hmac
+from typing import Any
+
+import grpc
+import msgspec
+
+from hollycart.peers import _bridge
+from hollycart.peers import _methods
+from hollycart_core import base
+
+MAX_MESSAGE_BYTES = 16 << 20
+SECRET_HEADER = "hollycart-secret"
+
+Handler = Callable[[Any], Any]
+
+
+class PeerServer:
+    """Serves calls of other instances on the event loop.
+
+    Args:
+        bridge: Passes the calls to the loop.
+        address: `host:port` to listen on.
+        handlers: Handler of each method.
+        secret: Shared secret that callers must present; empty for none.
+    """
+
+    def __init__(
+        self,
+        bridge: _bridge.LoopBridge,
+        address: str,
+        handlers: Mapping[_methods.Method, Handler],
+        secret: str = "",
+    ) -> None:
+        self.bridge = bridge
+        self.address = address
+        self.handlers = handlers
+        self.secret = secret
+        self._server: Any = None
+
+    def start(self) -> None:
+        """Binds the address and starts to serve.
+
+        Raises:
+            RuntimeError: If the address cannot be bound.
+        """
+        self._server = grpc.server(
+            _bridge.LoopExecutor(self.bridge),
+            options=[
+                ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+                ("grpc.so_reuseport", 0),
+            ],
+        )
+        methods = {
+            method.name: grpc.unary_unary_rpc_method_handler(
+                self._wrap(method, handler)
+            )
+            for method, handler in self.handlers.items()
+        }
+        generic = grpc.method_handlers_generic_handler(
+            _methods.SERVICE, methods
+        )
+        self._server.add_generic_rpc_handlers((generic,))
+        self._server.add_insecure_port(self.address)
+        self._server.start()
+
+    def close(self) -> None:
+        """Stops serving at once."""
+        if self._server is not None:
+            self._server.stop(grace=None)
+            self._server = None
+
+    def _wrap(
+        self, method: _methods.Method, handler: Handler
+    ) -> Callable[[bytes, Any], bytes]:
+        decoder = msgspec.msgpack.Decoder(method.request_type)
+        encoder = msgspec.msgpack.Encoder()
+
+        def serve(data: bytes, context: Any) -> bytes:
+            if not self._authentic(context):
+                context.abort(grpc.StatusCode.UNAUTHENTICATED, "secret")
+            try:
+                request = decoder.decode(data)
+            except msgspec.DecodeError:
+                context.abort(grpc.StatusCode.INVALID_ARGUMENT, "message")
+            try:
+                return encoder.encode(handler(request))
+            except base.HollycartError as exc:
+                context.abort(grpc.StatusCode.FAILED_PRECONDITION, exc.code)
+                raise
+
+        return serve
+
+    def _authentic(self, context: Any) -> bool:
+        if not self.secret:
+            return True
+        sent = dict(context.invocation_metadata()).get(SECRET_HEADER, "")
+        return hmac.compare_digest(str(sent), self.secret)
--- /dev/null
+++ b/packages/hollycartctl/src/hollycartctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command of hollycart."""
--- /dev/null
+++ b/packages/hollycartctl/src/hollycartctl/main.py
@@ -0,0 +1,264 @@
+"""The `hollycartctl` command.
+
+Exit codes: 0 done, 2 invalid input or usage, 3 version conflict, 4 the
+platform does not answer and nothing was changed, 5 it is not known whether
+the change was accepted, 6 accepted but no instance could be told.
+"""
+
+import pathlib
+import sys
+from typing import Any
+import warnings
+
+warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
+
+import defopt
+import msgspec
+
+from hollycart_core import base
+from hollycart_core import orders
+from hollycartctl import operations
+
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+EXIT_UNKNOWN = 5
+EXIT_NOT_TOLD = 6
+
+_EXIT_CODES: dict[type[base.HollycartError], int] = {
+    base.VersionConflictError: EXIT_CONFLICT,
+    base.KvUnavailableError: EXIT_UNAVAILABLE,
+    base.KvAnswerLostError: EXIT_UNKNOWN,
+}
+
+
+def plan(file: pathlib.Path, *, json: bool = False) -> None:
+    """Shows the changes that a table file would make.
+
+    Args:
+        file: CSV file.
+        json: Print JSON.
+    """
+    changes = operations.default_client().plan(_read(file))
+    if json:
+        _print_json(changes)
+        return
+    for change in changes:
+        sign = (
+            "-" if change.row is None else "~" if change.version_read else "+"
+        )
+        values = "" if change.row is None else ",".join(map(str, change.row))
+        sys.stdout.write(f"{sign} {change.key} {values}\n")
+    sys.stdout.write(f"{len(changes)} change(s)\n")
+
+
+def apply(file: pathlib.Path, *, json: bool = False) -> None:
+    """Makes the table equal to a file.
+
+    Args:
+        file: CSV file; its version column, if present, is checked.
+        json: Print JSON.
+    """
+    _report(operations.default_client().apply(_read(file)), json)
+
+
+def export(*, json: bool = False) -> None:
+    """Prints the table as CSV.
+
+    Args:
+        json: Print JSON.
+    """
+    client = operations.default_client()
+    if json:
+        _print_json(list(client.tables.read().rows.values()))
+    else:
+        sys.stdout.write(client.export())
+
+
+def history(*, json: bool = False) -> None:
+    """Lists the accepted edits, the oldest first.
+
+    Args:
+        json: Print JSON.
+    """
+    records = operations.default_client().history()
+    if json:
+        _print_json(records)
+        return
+    for record in records:
+        keys = " ".join(c.key for c in record.changes)
+        sys.stdout.write(f"{record.revision} {record.author} {keys}\n")
+
+
+def rollback(revision: int, *, json: bool = False) -> None:
+    """Restores what one edit changed, as a new revision.
+
+    Args:
+        revision: The edit.
+        json: Print JSON.
+    """
+    _report(operations.default_client().rollback(revision), json)
+
+
+def status(*, json: bool = False) -> None:
+    """Shows instances, owners, endpoints and key-value calls.
+
+    Args:
+        json: Print JSON.
+    """
+    states = operations.default_client().status()
+    if json:
+        _print_json(states)
+        return
+    for state in states:
+        sys.stdout.write(_status_line(state) + "\n")
+        for model, pool in state.get("pools", {}).items():
+            sys.stdout.write(
+                f"  pool {model}: owner {pool['owner']}, "
+                f"queued {pool['queued']}\n"
+            )
+        calls = state.get("kv_calls", {})
+        text = ", ".join(f"{k} {v}" for k, v in sorted(calls.items()))
+        sys.stdout.write(f"  key-value calls: {text}\n")
+
+
+def histograms(*, json: bool = False) -> None:
+    """Shows times per team and request kind, in ms.
+
+    Args:
+        json: Print JSON.
+    """
+    found = operations.default_client().histograms()
+    if json:
+        _print_json(found)
+        return
+    for instance_id, rows in found.items():
+        for row in rows or ():
+            sys.stdout.write(
+                f"{instance_id} {row['name']} {row['team']} {row['kind']} "
+                f"n={row['count']} p50={row['p50']} p95={row['p95']} "
+                f"p99={row['p99']} max={row['max']}\n"
+            )
+
+
+def add(team: str, *, json: bool = False) -> None:
+    """Adds a team and prints its bearer key.
+
+    Args:
+        team: Name of the team.
+        json: Print JSON.
+    """
+    _print_key(team, operations.default_client().add_team(team), json)
+
+
+def rotate_key(
+    team: str, *, drop_old: bool = False, json: bool = False
+) -> None:
+    """Gives a team a new bearer key and prints it.
+
+    Args:
+        team: Name of the team.
+        drop_old: Stop the former key at once.
+        json: Print JSON.
+    """
+    key = operations.default_client().rotate_key(team, drop_old)
+    _print_key(team, key, json)
+
+
+def targets(file: pathlib.Path, *, json: bool = False) -> None:
+    """Declares models and roles of endpoints.
+
+    Args:
+        file: JSON list of `[endpoint_id, [model, ...], role]`.
+        json: Print JSON.
+    """
+    try:
+        wanted = msgspec.json.decode(
+            _read(file).encode(), type=list[orders.Order]
+        )
+    except msgspec.DecodeError as exc:
+        raise base.InvalidTableError(str(exc)) from exc
+    operations.default_client().set_targets(wanted)
+    if json:
+        _print_json({"targets": len(wanted)})
+
+
+def drain(instance_id: str, *, json: bool = False) -> None:
+    """Begins the graceful shutdown of an instance.
+
+    Args:
+        instance_id: The instance.
+        json: Print JSON.
+    """
+    operations.default_client().drain(instance_id)
+    if json:
+        _print_json({"draining": instance_id})
+
+
+def main() -> None:
+    """Runs the command given on the command line."""
+    commands: dict[str, Any] = {
+        "plan": plan,
+        "apply": apply,
+        "export": export,
+        "history": history,
+        "rollback": rollback,
+        "status": status,
+        "histograms": histograms,
+        "teams": [add, rotate_key],
+        "targets": targets,
+        "drain": drain,
+    }
+    try:
+        defopt.run(commands, no_negated_flags=True)
+    except base.HollycartError as exc:
+        sys.stderr.write(f"{exc.code}: {exc.detail}\n")
+        sys.exit(_EXIT_CODES.get(type(exc), EXIT_INVALID))
+
+
+def _report(applied: operations.Applied, json: bool) -> None:
+    if json:
+        _print_json(applied._asdict())
+    elif applied.revision:
+        sys.stdout.write(
+            f"revision {applied.revision}: {applied.changes} change(s), "
+            f"{applied.notified} instance(s) told\n"
+        )
+    else:
+        sys.stdout.write("no change\n")
+    if applied.revision and not applied.notified:
+        sys.exit(EXIT_NOT_TOLD)
+
+
+def _status_line(state: dict[str, Any]) -> str:
+    if "ready" not in state:
+        return f"{state['instance_id']}: does not answer"
+    flag = "draining" if state["draining"] else "ready"
+    return (
+        f"{state['instance_id']}: {flag if state['ready'] else 'not ready'}, "
+        f"cell {state['cell']}, zone {state['zone']}, "
+        f"table {state['table_revision']}, running {state['running']}, "
+        f"members {len(state['members'])}"
+    )
+
+
+def _print_key(team: str, key: str, json: bool) -> None:
+    if json:
+        _print_json({"team": team, "key": key})
+    else:
+        sys.stdout.write(f"{key}\n")
+
+
+def _print_json(value: Any) -> None:
+    sys.stdout.write(msgspec.json.encode(value).decode() + "\n")
+
+
+def _read(file: pathlib.Path) -> str:
+    try:
+        return file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise base.InvalidTableError(f"{file}: {exc}") from exc
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/hollycartctl/src/hollycartctl/operations/__init__.py
@@ -0,0 +1,8 @@
+"""What the operators' command does, without its command line."""
+
+from hollycartctl.operations._client import Applied
+from hollycartctl.operations._client import OperatorClient
+from hollycartctl.operations._client import OperatorConfig
+from hollycartctl.operations._client import default_client
+
+__all__ = ["Applied", "OperatorClient", "OperatorConfig", "default_client"]
