Randomised proof runs with verdicts from stand-ins and callers

make prove starts every process apart, draws load and failures from the seed and judges the eight points by the stand-ins' records and the callers' own.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy packages/*/src
 	$(BIN)/python -m pytest $(PYTEST_ARGS)
+
+prove: setup
+	$(BENCH) prove --seed $(SEED) --seeds $(or $(SEEDS),1) --duration-s $(DURATION_S)
--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -8,6 +8,7 @@
 
 import defopt
 
+from hollycart_bench import prove as proofs
 from hollycart_bench import run
 
 
@@ -33,5 +34,24 @@
     return run.run_up(pathlib.Path(out))
 
 
+def prove(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    duration_s: float = 120.0,
+    out: str = "out/prove",
+) -> int:
+    """Runs the system under random failures and checks the eight points.
+
+    Args:
+        seed: First seed.
+        seeds: Number of consecutive seeds.
+        duration_s: Length of the arrivals, in seconds.
+        out: Folder for the output of the processes.
+    """
+    numbers = list(range(seed, seed + seeds))
+    return proofs.run_seeds(numbers, duration_s, pathlib.Path(out))
+
+
 if __name__ == "__main__":
-    sys.exit(defopt.run([sample, up], no_negated_flags=True))
+    sys.exit(defopt.run([sample, up, prove], no_negated_flags=True))
--- a/packages/hollycart-bench/src/hollycart_bench/engine/_app.py
+++ b/packages/hollycart-bench/src/hollycart_bench/engine/_app.py
@@ -229,7 +229,10 @@
         return {
             "received": self.received[-20_000:],
             "held": self.batcher.held_tokens,
-            "sequences": list(self.batcher.sequences),
+            "sequences": [
+                [s.attempt_id, s.digest, s.memory]
+                for s in self.batcher.sequences.values()
+            ],
             "orders": self.orders.accepted,
             "faults": self.faults.counts,
             "models": list(self.orders.models),
--- a/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
@@ -210,12 +210,13 @@
             raise RuntimeError(f"hollycartctl {args}: {code} {output}")
         return msgspec.json.decode(output) if output.strip() else None
 
-    def try_ctl(self, *args: str) -> tuple[int, str]:
+    def try_ctl(self, *args: str, json: bool = True) -> tuple[int, str]:
         """Runs the operators' command; returns exit code and output."""
+        flags = ["--json"] if json else []
         with tempfile.NamedTemporaryFile(suffix=".log") as out:
             process = _process.BenchProcess(
                 os.path.basename(out.name),
-                _process.python_module("hollycartctl.main", *args, "--json"),
+                _process.python_module("hollycartctl.main", *args, *flags),
                 pathlib.Path(out.name).parent,
                 self.operator_environ(),
             )
@@ -230,6 +231,17 @@
             log.unlink()
             return -1 if code is None else code, text
 
+    def export_csv(self) -> str:
+        """Returns the stored table as the operators' command exports it.
+
+        Raises:
+            RuntimeError: If the command fails.
+        """
+        code, text = self.try_ctl("export", json=False)
+        if code != 0:
+            raise RuntimeError(f"export: {code} {text}")
+        return text
+
     def load_table(self, csv_text: str, teams: list[str]) -> None:
         """Creates teams with keys and applies a table."""
         for team in teams:
@@ -317,7 +329,18 @@
         for number in range(self.spec.services):
             port = free_port()
             name = f"s{number}"
-            self._start_host(name, ["run-service", "--port", str(port)])
+            journal = self.log_dir / f"{name}.journal"
+            journal.unlink(missing_ok=True)
+            self._start_host(
+                name,
+                [
+                    "run-service",
+                    "--port",
+                    str(port),
+                    "--journal",
+                    str(journal),
+                ],
+            )
             self.entries[name] = membership.ListEntry(
                 name,
                 membership.KIND_SERVICE,
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_record.py
@@ -0,0 +1,70 @@
+"""What happened during a run, as seen from outside hollycart."""
+
+import collections
+from typing import NamedTuple
+
+
+class Interval(NamedTuple):
+    """A failure that affected one process.
+
+    Attributes:
+        name: The process.
+        kind: What was done to it.
+        start_ms: Wall clock at the start, in ms.
+        end_ms: Wall clock at the end, in ms.
+    """
+
+    name: str
+    kind: str
+    start_ms: float
+    end_ms: float
+
+
+class Verdict:
+    """Checks made and violations found for one point.
+
+    Args:
+        name: The point.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.checks = 0
+        self.violations: list[str] = []
+
+    def check(self, condition: bool, detail: str) -> None:
+        """Counts a check and notes a violation."""
+        self.checks += 1
+        if not condition:
+            self.violations.append(detail)
+
+    @property
+    def passed(self) -> bool:
+        """Whether checks were made and none failed."""
+        return self.checks > 0 and not self.violations
+
+
+class RunRecord:
+    """Failures and their intervals."""
+
+    def __init__(self) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.intervals: list[Interval] = []
+
+    def note(
+        self, name: str, kind: str, start_ms: float, end_ms: float
+    ) -> None:
+        """Notes what was done to a process."""
+        self.intervals.append(Interval(name, kind, start_ms, end_ms))
+
+    def hit(
+        self, name: str, kinds: tuple[str, ...], start: float, end: float
+    ) -> bool:
+        """Returns whether a process was hit within a time, in wall ms."""
+        return any(
+            i.name == name
+            and i.kind in kinds
+            and i.start_ms <= end
+            and i.end_ms >= start
+            for i in self.intervals
+        )
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_runner.py
@@ -0,0 +1,327 @@
+"""A randomised run with failures and its verdicts."""
+
+import pathlib
+import random
+import sys
+
+import eventlet
+
+from hollycart_bench import fleet
+from hollycart_bench import load
+from hollycart_bench.prove import _failures
+from hollycart_bench.prove import _monitor
+from hollycart_bench.prove import _record
+from hollycart_core import base
+from hollycart_core import membership
+
+_WARM_UP_S = 2.0
+_COOL_DOWN_S = 14.0
+_TIME_BOUND_MS = 250.0
+_DUPLICATE_SHARE = 0.3
+_UNKNOWN = 5  # exit code of an edit that may have been accepted
+_EXCUSES = ("kill", "freeze")
+
+
+class ProofRun:
+    """Runs one seed and prints a line a point.
+
+    Args:
+        seed: Seed of the load and of the failures.
+        duration_s: Length of the arrivals, in seconds.
+        log_dir: Folder for the output of the processes.
+        workload: The user whose load is sent.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        duration_s: float,
+        log_dir: pathlib.Path,
+        workload: load.Workload,
+    ) -> None:
+        self.seed = seed
+        self.duration_s = duration_s
+        self.workload = workload
+        self.rng = random.Random(seed)
+        spec = fleet.FleetSpec(
+            engines=9,
+            services=3,
+            engines_per_process=1,
+            balancer=False,
+            settings={"HOLLYCART_LIST_LAG_MS": "1200"},
+        )
+        self.system = fleet.Fleet(spec, log_dir)
+        self.record = _record.RunRecord()
+        names = (
+            "in time",
+            "memory",
+            "own answer",
+            "not run",
+            "at most once",
+            "leaving",
+            "graceful",
+            "table",
+        )
+        self.verdicts = {name: _record.Verdict(name) for name in names}
+
+    def run(self) -> int:
+        """Runs to the end; returns zero only if every point holds."""
+        try:
+            self.system.start()
+            teams = list(self.workload.teams)
+            self.system.load_table(self.workload.table_csv(), teams)
+            self._run_load()
+            return self._report()
+        finally:
+            self.system.close()
+
+    def _run_load(self) -> None:
+        client = load.LoadClient(
+            self.system.spec.model,
+            self.system.keys,
+            self._choose_address,
+            self.seed,
+        )
+        self.client = client
+        self.injector = _failures.FailureInjector(
+            self.system,
+            client,
+            self.record,
+            random.Random(self.seed + 1),
+            self.workload.effect,
+        )
+        memory = _monitor.MemoryMonitor(
+            self.system, client, self.verdicts["memory"]
+        )
+        table = _monitor.TableMonitor(
+            self.system, self.record, self.verdicts["table"]
+        )
+        table.start()
+        watchers = [eventlet.spawn(memory.run), eventlet.spawn(table.run)]
+        failures = [
+            eventlet.spawn_after(at_s, self.injector.inject, kind)
+            for at_s, kind in self._schedule()
+        ]
+        self._send_all(client)
+        for thread in failures:
+            thread.wait()
+        eventlet.sleep(_COOL_DOWN_S)
+        for watcher in watchers:
+            watcher.kill()
+        left = memory.step()
+        self.verdicts["memory"].check(left == 0, f"{left} held at the end")
+        codes = self.system.stop_gracefully()
+        for name, code in codes.items():
+            self.verdicts["graceful"].check(code == 0, f"{name} exit {code}")
+
+    def _schedule(self) -> list[tuple[float, str]]:
+        """Every kind once, some twice, at random times."""
+        kinds = sorted(self.injector.kinds())
+        extra = self.rng.choices(kinds, k=len(kinds) // 4)
+        end_s = max(_WARM_UP_S + 1, self.duration_s - 12.0)
+        return sorted(
+            (self.rng.uniform(_WARM_UP_S, end_s), kind)
+            for kind in [*kinds, *extra]
+        )
+
+    def _send_all(self, client: load.LoadClient) -> None:
+        plan = load.make_plan(
+            load.PlanSpec(
+                self.workload,
+                0.35,
+                self.duration_s * 1000.0,
+                self.seed,
+                self.system.spec.engines,
+                effects_per_s=8.0,
+                huge=1,
+                stream_share=0.8,
+            )
+        )
+        plan = [self._tighten(a) for a in plan]
+        extra = eventlet.spawn(self._send_duplicates, client, plan)
+        client.run(plan)
+        extra.wait()
+
+    def _tighten(self, arrival: load.Arrival) -> load.Arrival:
+        """Shortens deadlines, so that they really pass now and then."""
+        if arrival.is_effect:
+            return arrival._replace(deadline_ms=8_000)
+        limit_ms = 6_000 if arrival.is_short else 40_000
+        return arrival._replace(deadline_ms=limit_ms)
+
+    def _send_duplicates(
+        self, client: load.LoadClient, plan: list[load.Arrival]
+    ) -> None:
+        """Sends some keys at several instances at once."""
+        effects = [a for a in plan if a.is_effect]
+        chosen = [a for a in effects if self.rng.random() < _DUPLICATE_SHARE]
+        threads = []
+        last_ms = 0.0
+        for arrival in chosen:
+            eventlet.sleep((arrival.at_ms - last_ms) / 1000.0)
+            last_ms = arrival.at_ms
+            key = f"twice-{self.seed}-{arrival.number}"
+            for _ in range(3):
+                threads.append(
+                    eventlet.spawn(self._send_one, client, arrival, key)
+                )
+        for thread in threads:
+            thread.wait()
+
+    def _send_one(
+        self, client: load.LoadClient, arrival: load.Arrival, key: str
+    ) -> None:
+        client.results.append(client.send(arrival, key))
+
+    def _choose_address(self, arrival: load.Arrival) -> str:
+        del arrival
+        names = [
+            n
+            for n in self.system.instance_names()
+            if self.system.running(n) and not self.system.entries[n].leaving
+        ]
+        name = self.rng.choice(names or self.system.instance_names())
+        return self.system.entries[name].address
+
+    def _report(self) -> int:
+        self._judge_results()
+        self._judge_effects()
+        self._judge_failures()
+        lines = [f"seed {self.seed}, {self.duration_s:.0f} s"]
+        outcomes = load.outcome_table(self.client.results)
+        lines.append(load.format_table(outcomes))
+        for kind, count in sorted(self.record.counts.items()):
+            lines.append(f"  failure {kind}: {count}")
+        missing = [
+            k for k in self.injector.kinds() if not self.record.counts[k]
+        ]
+        for kind in missing:
+            lines.append(f"  failure {kind}: did not occur")
+        for verdict in self.verdicts.values():
+            flag = "ok" if verdict.passed else "FAILED"
+            lines.append(
+                f"{verdict.name:>14}: {flag}, {verdict.checks} checks, "
+                f"{len(verdict.violations)} violations"
+            )
+            lines += [f"      {v}" for v in verdict.violations[:8]]
+        sys.stdout.write("\n".join(lines) + "\n")
+        passed = all(v.passed for v in self.verdicts.values())
+        return 0 if passed and not missing else 1
+
+    def _judge_results(self) -> None:
+        names = {
+            e.address: n
+            for n, e in self.system.entries.items()
+            if e.kind == membership.KIND_INSTANCE
+        }
+        for result in self.client.results:
+            name = names[result.address]
+            hit = self.record.hit(
+                name, _EXCUSES, result.began_wall_ms, result.ended_wall_ms
+            )
+            self._judge_time(result, name, hit)
+            self.verdicts["own answer"].check(
+                result.outcome != "wrong", f"wrong {result.arrival}"
+            )
+            if not hit and result.outcome == "refused":
+                self.verdicts["in time"].check(
+                    result.retry_after_ms > 0, f"no Retry-After {result}"
+                )
+
+    def _judge_time(
+        self, result: load.CallResult, name: str, hit: bool
+    ) -> None:
+        if hit or result.outcome == "unreachable":
+            return
+        limit_ms = result.arrival.deadline_ms + _TIME_BOUND_MS
+        self.verdicts["in time"].check(
+            result.total_ms <= limit_ms and result.outcome != "lost",
+            f"{name} {result.outcome} after {result.total_ms:.0f} ms "
+            f"{result.arrival}",
+        )
+        draining = self.record.hit(
+            name, ("term",), result.began_wall_ms, result.ended_wall_ms
+        )
+        if draining:
+            self.verdicts["graceful"].check(
+                result.outcome != "lost", f"{name} cut {result.arrival}"
+            )
+
+    def _judge_effects(self) -> None:
+        effects: dict[str, list[float]] = {}
+        for name in self.system.names(membership.KIND_SERVICE):
+            for at_ms, key, _ in self._effects_of(name):
+                effects.setdefault(key, []).append(at_ms)
+        once = self.verdicts["at most once"]
+        for key, times in effects.items():
+            once.check(len(times) == 1, f"{key} ran {len(times)} times")
+        bodies: dict[str, set[str]] = {}
+        for result in self.client.results:
+            if not result.key:
+                continue
+            scoped = f"{result.arrival.team}/cases/{result.key}"
+            ran = effects.get(scoped, [])
+            if result.outcome == "ok":
+                once.check(bool(ran), f"{scoped} ok but never ran")
+                bodies.setdefault(scoped, set()).add(result.body)
+            if result.outcome == "not_run":
+                before = [t for t in ran if t <= result.ended_wall_ms]
+                self.verdicts["not run"].check(
+                    not before, f"{scoped} said not run, ran {before}"
+                )
+
+    def _effects_of(self, name: str) -> list:
+        path = self.system.log_dir / f"{name}.journal"
+        if not path.exists():
+            return []
+        rows = []
+        for line in path.read_text().splitlines():
+            at_ms, key, attempt = line.split("\t")
+            rows.append((float(at_ms), key, attempt))
+        return rows
+
+    def _judge_failures(self) -> None:
+        for name, late in self.injector.left_work:
+            self.verdicts["leaving"].check(
+                late == 0, f"{name} received {late} late"
+            )
+        for name, _, code in self.injector.drains:
+            self.verdicts["graceful"].check(code == 0, f"{name} exit {code}")
+        for codes, weights, exported in self.injector.races:
+            accepted = [
+                w
+                for c, w in zip(codes, weights, strict=True)
+                if c in _failures.ACCEPTED
+            ]
+            shown = [w for w in weights if f",{w}," in exported]
+            known = not any(c == _UNKNOWN for c in codes)
+            self.verdicts["table"].check(
+                len(accepted) <= 1 and (not known or shown == accepted),
+                f"race {codes} {weights} shows {shown}",
+            )
+
+
+def run_seeds(
+    seeds: list[int], duration_s: float, log_dir: pathlib.Path
+) -> int:
+    """Runs seeds one after the other, the users in turn.
+
+    Returns:
+        Zero only if all passed.
+    """
+    failed = []
+    for seed in seeds:
+        users = list(load.WORKLOADS.values())
+        workload = users[seed % len(users)]
+        try:
+            code = ProofRun(
+                seed, duration_s, log_dir / f"seed{seed}", workload
+            ).run()
+        except base.HollycartError as exc:
+            sys.stdout.write(f"seed {seed}: {type(exc).__name__} {exc}\n")
+            code = 1
+        if code:
+            failed.append(seed)
+        sys.stdout.flush()
+    sys.stdout.write(f"seeds {seeds}: failed {failed or 'none'}\n")
+    return 1 if failed else 0
--- a/packages/hollycart-bench/src/hollycart_bench/standin.py
+++ b/packages/hollycart-bench/src/hollycart_bench/standin.py
@@ -68,14 +68,18 @@
     _serve(platform.ListApp(base.SystemClock(), lag_ms), host, port)
 
 
-def run_service(*, host: str = "127.0.0.1", port: int = 0) -> None:
+def run_service(
+    *, host: str = "127.0.0.1", port: int = 0, journal: str = ""
+) -> None:
     """Runs a plain service.
 
     Args:
         host: IP address to listen on.
         port: TCP port.
+        journal: File that keeps the effects over a restart.
     """
-    _serve(platform.ServiceApp(base.SystemClock()), host, port)
+    app = platform.ServiceApp(base.SystemClock(), journal)
+    _serve(app, host, port)
 
 
 def run_weights(*, host: str = "127.0.0.1", port: int = 0) -> None:
--- a/packages/hollycart/src/hollycart/entry/_service_calls.py
+++ b/packages/hollycart/src/hollycart/entry/_service_calls.py
@@ -163,7 +163,7 @@
             if reply.decision == "granted":
                 return self._run_granted(call, attempt_id)
             if reply.record is None:
-                return base.NotRun(reply.decision, reply.retry_after_ms)
+                return self._refuse(call, reply)
             if reply.decision == "reused":
                 raise base.KeyReusedError(call.key)
             if reply.decision == "settled":
@@ -179,6 +179,24 @@
             )
         return base.Unknown("pending")
 
+    def _refuse(self, call: _Call, reply: peers.ClaimReply) -> base.Outcome:
+        """Answers a call whose claim cannot be decided.
+
+        This attempt is not sent. Whether an earlier attempt under the same
+        key was executed only the service can tell; without its answer the
+        outcome of the key is unknown.
+        """
+        answers = [
+            self._look_up(entry, call.key, _LOOKUP_TIMEOUT_MS)
+            for entry in self.services.directory.services(call.service)
+        ]
+        for answer in answers:
+            if isinstance(answer, base.Done):
+                return answer
+        if any(a is None for a in answers):
+            return base.Unknown(reply.decision)
+        return base.NotRun(reply.decision, reply.retry_after_ms)
+
     def _run_granted(self, call: _Call, attempt_id: str) -> base.Outcome:
         outcome = self._send_once(call, attempt_id)
         if isinstance(outcome, base.Unknown):
@@ -273,7 +291,7 @@
                 if left_ms <= _SETTLE_RESERVE_MS:
                     return None
                 found = self._look_up(entry, call.key, left_ms)
-                if found is not None:
+                if isinstance(found, base.Done):
                     return found
             self.services.clock.sleep_ms(
                 min(
@@ -285,7 +303,10 @@
 
     def _look_up(
         self, entry: membership.ListEntry, key: str, left_ms: float
-    ) -> base.Done | None:
+    ) -> base.Done | base.NotRun | None:
+        """Asks one endpoint; None without an answer."""
+        if not entry.lookup_path:
+            return None
         url = f"http://{entry.address}{entry.lookup_path}{key}"
         try:
             reply = self.services.client.send(
@@ -295,9 +316,9 @@
             )
         except base.HollycartError:
             return None
-        if reply.status != 200:
-            return None
-        return base.Done(200, reply.body)
+        if reply.status == 404:
+            return base.NotRun("not_found", _NOT_RUN_RETRY_MS)
+        return base.Done(200, reply.body) if reply.status == 200 else None
 
     def _choose(self, service: str, tried: list[str]) -> membership.ListEntry:
         usable = self._usable(service, tried)
