Print the timeline of failures when a proof run fails

The report did not tell what else happened then, so the cause could not be read off it; the intervals are now printed in order. No check is changed.

--- a/packages/hollycart-bench/src/hollycart_bench/prove/_failures.py
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_failures.py
@@ -57,7 +57,7 @@
         self.client = client
         self.record = record
         self.rng = rng
-        self.left_work: list[tuple[str, int]] = []
+        self.left_work: list[tuple[str, float, list[float]]] = []
         self.drains: list[tuple[str, float, int | None]] = []
         self.races: list[tuple[list[int], list[float], str]] = []
         self.busy: set[str] = set()
@@ -104,6 +104,7 @@
     def inject(self, kind: str) -> None:
         """Injects one failure; it counts once it has really occurred."""
         for _ in range(_TRIES):
+            start_ms = wall_ms()
             try:
                 self.kinds()[kind]()
             except (base.HollycartError, RuntimeError) as exc:
@@ -112,6 +113,7 @@
                 eventlet.sleep(_OUTAGE_S / 2)
                 continue
             self.record.counts[kind] += 1
+            self.record.note("-", kind, start_ms, wall_ms())
             return
 
     def _take(self, kind: str) -> str:
@@ -275,7 +277,7 @@
             truth = self.system.read(entry.address, "/control/truth")
             times = [at for at, _, _ in truth["effects"]]
         late = [t for t in times if shown_ms + 3_000 < t < end_ms]
-        self.left_work.append((name, len(late)))
+        self.left_work.append((name, shown_ms, [t - shown_ms for t in late]))
 
     def _zone_lost(self) -> None:
         zone = f"zone-{self.rng.randrange(self.system.spec.zones)}"
--- a/packages/hollycart-bench/src/hollycart_bench/prove/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_record.py
@@ -57,6 +57,17 @@
         """Notes what was done to a process."""
         self.intervals.append(Interval(name, kind, start_ms, end_ms))
 
+    def timeline(self) -> list[str]:
+        """Returns all intervals in order, in seconds from the first."""
+        if not self.intervals:
+            return []
+        zero = min(i.start_ms for i in self.intervals)
+        return [
+            f"{(i.start_ms - zero) / 1000:7.1f} to "
+            f"{(i.end_ms - zero) / 1000:6.1f} s {i.kind} {i.name}"
+            for i in sorted(self.intervals, key=lambda i: i.start_ms)
+        ]
+
     def hit(
         self, name: str, kinds: tuple[str, ...], start: float, end: float
     ) -> bool:
--- a/packages/hollycart-bench/src/hollycart_bench/prove/_runner.py
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_runner.py
@@ -197,6 +197,8 @@
         ]
         for kind in missing:
             lines.append(f"  failure {kind}: did not occur")
+        if not all(v.passed for v in self.verdicts.values()):
+            lines += self.record.timeline()
         for verdict in self.verdicts.values():
             flag = "ok" if verdict.passed else "FAILED"
             lines.append(
@@ -281,9 +283,9 @@
         return rows
 
     def _judge_failures(self) -> None:
-        for name, late in self.injector.left_work:
+        for name, shown_ms, late in self.injector.left_work:
             self.verdicts["leaving"].check(
-                late == 0, f"{name} received {late} late"
+                not late, f"{name} shown at {shown_ms:.0f}, work {late} ms on"
             )
         for name, _, code in self.injector.drains:
             self.verdicts["graceful"].check(code == 0, f"{name} exit {code}")
