--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -1,6 +1,7 @@
 """The bench's commands: `python -m hollycart_bench.commands`."""
 
 import pathlib
+import signal
 import sys
 import warnings
 
@@ -54,4 +55,6 @@
 
 
 if __name__ == "__main__":
+    # An ended bench ends its processes as on Ctrl-C.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(defopt.run([sample, up, prove], no_negated_flags=True))
