--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 prove: setup
 	$(BENCH) prove --seed $(SEED) --seeds $(or $(SEEDS),1) --duration-s $(DURATION_S)
+
+measure: setup
+	$(BENCH) measure $(if $(QUICK),--quick) $(MEASURE_ARGS)
--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -9,6 +9,7 @@
 
 import defopt
 
+from hollycart_bench import measure as experiments
 from hollycart_bench import prove as proofs
 from hollycart_bench import run
 
@@ -54,7 +55,77 @@
     return proofs.run_seeds(numbers, duration_s, pathlib.Path(out))
 
 
+def measure(
+    *,
+    quick: bool = False,
+    user: str = "",
+    policies: str = "",
+    loads: str = "",
+    seeds: str = "1",
+    duration_s: float = 0.0,
+    surge: bool = False,
+    parallel: int = 2,
+    settings: str = "",
+    out: str = "out/measure",
+) -> int:
+    """Compares placement policies under the same load.
+
+    Args:
+        quick: A short run of fewer cells.
+        user: Only this user.
+        policies: Policies separated by commas; empty for all.
+        loads: Offered loads separated by commas.
+        seeds: Seeds separated by commas.
+        duration_s: Length of the arrivals of a cell, in seconds.
+        surge: Whether the users' surges are part of the load.
+        parallel: Cells at a time.
+        settings: Environment of the instances, NAME=VALUE with commas.
+        out: Folder for the results.
+    """
+    wanted = experiments.Experiment(surge=surge, parallel=parallel)
+    if quick:
+        wanted = wanted._replace(
+            users=("hinokuni",),
+            loads=(0.9,),
+            policies=(
+                experiments.ALONE,
+                experiments.OURS,
+                "least-requests",
+                "least-tokens",
+            ),
+            duration_s=40.0,
+        )
+    if user:
+        wanted = wanted._replace(users=(user,))
+    if policies:
+        wanted = wanted._replace(policies=tuple(policies.split(",")))
+    if loads:
+        wanted = wanted._replace(
+            loads=tuple(float(v) for v in loads.split(","))
+        )
+    if duration_s:
+        wanted = wanted._replace(duration_s=duration_s)
+    pairs = [p.partition("=")[::2] for p in settings.split(",") if p]
+    wanted = wanted._replace(
+        seeds=tuple(int(s) for s in seeds.split(",")),
+        settings=dict(pairs),
+    )
+    experiments.run_experiment(wanted, pathlib.Path(out))
+    return 0
+
+
+def cell(spec: pathlib.Path) -> int:
+    """Runs one cell of an experiment.
+
+    Args:
+        spec: File that describes it.
+    """
+    return experiments.run_one(spec)
+
+
 if __name__ == "__main__":
     # An ended bench ends its processes as on Ctrl-C.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    sys.exit(defopt.run([sample, up, prove], no_negated_flags=True))
+    sys.exit(
+        defopt.run([sample, up, prove, measure, cell], no_negated_flags=True)
+    )
