Scale tool: slopes by least squares and extrapolation to the target

The engine stand-in now waits for work instead of polling, since hundreds of idle ones took whole cores.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 measure: setup
 	$(BENCH) measure $(if $(QUICK),--quick) $(MEASURE_ARGS)
+
+scale: setup
+	$(BENCH) scale $(if $(QUICK),--quick)
--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -12,6 +12,7 @@
 from hollycart_bench import measure as experiments
 from hollycart_bench import prove as proofs
 from hollycart_bench import run
+from hollycart_bench import scale as scaling
 
 
 def sample(
@@ -114,6 +115,28 @@
     return 0
 
 
+def scale(*, quick: bool = False, out: str = "out/scale") -> int:
+    """Measures several sizes and extrapolates to the target.
+
+    Args:
+        quick: Fewer and smaller sizes.
+        out: Folder for the results.
+    """
+    sizes = scaling.Sizes()
+    if quick:
+        sizes = scaling.Sizes(
+            (6, 12, 24),
+            (34, 70, 100),
+            (10, 350, 700),
+            (10, 50, 100),
+            (10, 20, 40),
+            (8, 32, 64),
+            6.0,
+        )
+    scaling.ScaleRun(sizes, pathlib.Path(out)).run()
+    return 0
+
+
 def cell(spec: pathlib.Path) -> int:
     """Runs one cell of an experiment.
 
@@ -127,5 +150,7 @@
     # An ended bench ends its processes as on Ctrl-C.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(
-        defopt.run([sample, up, prove, measure, cell], no_negated_flags=True)
+        defopt.run(
+            [sample, up, prove, measure, scale, cell], no_negated_flags=True
+        )
     )
--- a/packages/hollycart-bench/src/hollycart_bench/engine/_app.py
+++ b/packages/hollycart-bench/src/hollycart_bench/engine/_app.py
@@ -15,6 +15,7 @@
 from hollycart_core import base
 from hollycart_core import http
 
+_IDLE_S = 0.1
 _BODY_LIMIT = 64 << 20  # bytes
 _EVENT_DELAY = 50  # newest events not yet published
 _EVENT_GAP = 17  # every 17th event is lost
@@ -101,13 +102,19 @@
         while True:
             step = self.batcher.plan()
             if step is None:
-                self.clock.sleep_ms(2)
                 self._note_report()
+                self._wake.wait(timeout=_IDLE_S)
+                self._wake = eventlet.event.Event()
                 continue
             self.clock.sleep_ms(step.duration_ms * self.faults.slow_factor)
             self.batcher.finish(step)
             self._note_report()
 
+    def _notify(self) -> None:
+        """Wakes the step loop."""
+        if not self._wake.ready():
+            self._wake.send()
+
     def _complete(
         self, body: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
@@ -133,6 +140,7 @@
         self.batcher.cancel(attempt_id)  # its reservation, if any
         if not self.batcher.add(sequence):
             raise base.InvalidRequestError("request_id in use")
+        self._notify()
         helpers = [self._spawn_share(a, sequence) for a in shares]
         start_response("200 OK", [("Content-Type", "text/event-stream")])
         return self._stream(sequence, tokens, helpers)
@@ -221,6 +229,7 @@
         attempt_id = body["request_id"]
         if not self.batcher.run_reserved(attempt_id, int(body["priority"])):
             return http.json_response(start_response, 409, {"error": "share"})
+        self._notify()
         item = self.batcher.sequences[attempt_id].output.get()
         status = 409 if item is None else 200
         return http.json_response(start_response, status, {})
--- a/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
@@ -40,6 +40,7 @@
         list_lag_ms: Lag of the instance list, in ms.
         balancer: Whether to start the balancer.
         unchecking: Number of engines that ignore fencing numbers.
+        start_pause_s: Pause between the starts of instances, in seconds.
     """
 
     instances: int = 6
@@ -53,6 +54,7 @@
     list_lag_ms: float = 500.0
     balancer: bool = True
     unchecking: int = 2
+    start_pause_s: float = 0.0
 
 
 class Fleet:
@@ -91,6 +93,7 @@
         self.publish(self.entries)
         for name in self.instance_names():
             self.processes[name].start()
+            eventlet.sleep(self.spec.start_pause_s)
         if self.spec.balancer:
             self._start_balancer()
         for name in self.instance_names():
--- a/packages/hollycart/src/hollycart/entry/tests/test_completions.py
+++ b/packages/hollycart/src/hollycart/entry/tests/test_completions.py
@@ -179,9 +179,8 @@
         f"http://{address}/v1/completions",
         msgspec.json.encode({**body, "max_tokens": 4}),
     )
-    system.engines[0].batcher.add(
-        engine.Sequence("gone/aa/2", "", [], 50, 0, 0, 0, 0)
-    )
+    lost = engine.Sequence("gone/aa/2", "", [], 50, 0, 0, 0, 0)
+    assert system.engines[0].batcher.reserve(lost)
     system.wait_for(lambda: not system.engines[0].batcher.sequences)
 
 
