A paused instance reads the list before it sends; orphans back within 10 s

Cause, by the timeline: the sending instance had been stopped for 12 s and resumed with the list from before. Ruled out: the list's lag (counted) and the owner (its grant is checked against the sender's own list, which was the stale one). The list is now read again before a send when the last try is older than 1.5 s. 2. Cause: a permit lapsed after 6 s, then came a report every 2 s and a grace of 3 s on top. Ruled out: cancels that fail (none counted). Permits now lapse after 4.5 s, the grace counts from the last renewal, and reports come every second, as the holder is asked before anything is cancelled.

--- a/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
@@ -13,7 +13,7 @@
 from hollycart_core.scheduling import _types
 
 DECODE_COST = 4.0  # prompt tokens of work per answer token
-PERMIT_LIFETIME_MS = 6_000.0
+PERMIT_LIFETIME_MS = 4_500.0
 MIN_RETRY_AFTER_MS = 1_000.0
 _RATE_WINDOW_MS = 10_000.0
 _MEMORY_SHARE = 0.9  # of an endpoint, for one share of a large prompt
--- a/packages/hollycart/src/hollycart/entry/_directory.py
+++ b/packages/hollycart/src/hollycart/entry/_directory.py
@@ -9,6 +9,7 @@
 from hollycart_core import membership
 
 _EXCHANGE_FANOUT = 2
+_STALE_MS = 1500.0
 _EXCHANGE_TIMEOUT_MS = 1000
 
 
@@ -44,9 +45,11 @@
         self.on_change = on_change
         self.loaded = False
         self.entries: dict[str, membership.ListEntry] = {}
+        self._tried_ms = clock.now_ms()
 
     def refresh(self) -> None:
         """Reads the list; the last known one stays if it does not answer."""
+        self._tried_ms = self.clock.now_ms()
         try:
             found = self.source.read()
         except base.HollycartError:
@@ -64,6 +67,15 @@
             )
             self.on_change()
 
+    def refresh_if_stale(self) -> None:
+        """Reads the list if the last try is old.
+
+        A process that was paused must not act on what it knew before.
+        """
+        if self.clock.now_ms() - self._tried_ms > _STALE_MS:
+            self.metrics.count("list.stale")
+            self.refresh()
+
     def exchange(self) -> None:
         """Exchanges heartbeats with a few other instances."""
         self.view.beat()
@@ -121,7 +133,11 @@
         )
 
     def accepts_work(self, endpoint_id: str) -> bool:
-        """Returns whether an endpoint is listed and not leaving."""
+        """Returns whether an endpoint is listed and not leaving.
+
+        To be asked just before work is sent.
+        """
+        self.refresh_if_stale()
         entry = self.entries.get(endpoint_id)
         return entry is not None and not entry.leaving
 
--- a/packages/hollycart/src/hollycart/entry/_pool_owner.py
+++ b/packages/hollycart/src/hollycart/entry/_pool_owner.py
@@ -13,8 +13,9 @@
 from hollycart_core import membership
 from hollycart_core import scheduling
 
-_ORPHAN_GRACE_MS = 3_000.0
-_HOLDER_GONE_MS = 5_000.0
+_ORPHAN_GRACE_MS = 1_000.0
+_HOLDER_GONE_MS = 2_500.0
+_MAX_LAPSED = 10_000  # permits
 _CONFIRM_TIMEOUT_MS = 1_000
 _REPORT_WORKERS = 8
 
@@ -54,6 +55,7 @@
         self.rng = rng
         self.pools: dict[str, scheduling.Pool] = {}
         self._waiters: dict[str, event.Event] = {}
+        self._lapsed: dict[str, float] = {}
         self._orphan_since: dict[tuple[str, str], float] = {}
 
     def handle_acquire(
@@ -106,11 +108,21 @@
 
     def tick(self) -> None:
         """Ends lapsed permits and places waiting requests."""
+        now_ms = self.clock.now_ms()
         for pool in self.pools.values():
-            lapsed = pool.expire(self.clock.now_ms())
+            lapsed = pool.expire(now_ms)
             self.metrics.count("permit.lapsed", len(lapsed))
+            self._note_lapsed(lapsed, now_ms)
             self._dispatch(pool)
 
+    def _note_lapsed(self, permit_ids: list[str], now_ms: float) -> None:
+        """Dates lapsed permits back to their last renewal."""
+        renewed_ms = now_ms - scheduling.PERMIT_LIFETIME_MS
+        for permit_id in permit_ids:
+            self._lapsed[permit_id] = renewed_ms
+        while len(self._lapsed) > _MAX_LAPSED:
+            del self._lapsed[next(iter(self._lapsed))]
+
     def collect_orphans(self) -> None:
         """Compares engines with permits and cancels what nobody uses."""
         now_ms = self.clock.now_ms()
@@ -149,7 +161,8 @@
                 del self._orphan_since[key]
         for attempt_id in sorted(unknown):
             since_ms = self._orphan_since.setdefault(
-                (entry.entry_id, attempt_id), now_ms
+                (entry.entry_id, attempt_id),
+                self._lapsed.get(attempt_id, now_ms),
             )
             if self._is_unused(attempt_id, now_ms - since_ms):
                 self._cancel_orphan(entry, attempt_id)
--- a/packages/hollycart/src/hollycart/entry/_service_calls.py
+++ b/packages/hollycart/src/hollycart/entry/_service_calls.py
@@ -321,6 +321,7 @@
         return base.Done(200, reply.body) if reply.status == 200 else None
 
     def _choose(self, service: str, tried: list[str]) -> membership.ListEntry:
+        self.services.directory.refresh_if_stale()
         usable = self._usable(service, tried)
         if not usable:
             raise base.EndpointUnreachableError(service)
--- a/packages/hollycart/src/hollycart/entry/_settings.py
+++ b/packages/hollycart/src/hollycart/entry/_settings.py
@@ -149,7 +149,7 @@
     ),
     "report_interval_ms": SettingSpec(
         "Time between reads of an engine's load, in ms.",
-        "2000",
+        "1000",
         100,
         10_000,
     ),
--- a/packages/hollycart/src/hollycart/entry/tests/test_completions.py
+++ b/packages/hollycart/src/hollycart/entry/tests/test_completions.py
@@ -158,6 +158,20 @@
     assert len(system.engines[0].received) == before
 
 
+def test_paused_instance_reads_the_list_before_it_sends(system):
+    """What it knew before the pause may be out of date."""
+    first = system.instances[0]
+    for task in first._tasks:
+        if task.function == first.directory.refresh:
+            task.close()
+    system.set_entry("e0", leaving=True)
+    first.directory._tried_ms -= 12_000.0
+    before = len(system.engines[0].received)
+    for number in range(6):
+        assert system.post(PATH, _body(f"q{number}")).status == 200
+    assert len(system.engines[0].received) == before
+
+
 def test_silent_engine_is_left_for_another(system):
     """An engine that forgot the attempt and sends nothing is given up."""
     frozen = system.engines[0].batcher
