--- a/packages/hollycart-bench/src/hollycart_bench/measure/_runner.py
+++ b/packages/hollycart-bench/src/hollycart_bench/measure/_runner.py
@@ -78,7 +78,7 @@
     """Runs the cell described by a file and writes its result beside it."""
     spec = msgspec.json.decode(path.read_bytes(), type=_cell.CellSpec)
     result = _cell.run_cell(spec, path.with_suffix(""))
-    path.with_suffix(".result").write_bytes(msgspec.json.encode(result))
+    path.with_suffix(".result").write_bytes(msgspec.msgpack.encode(result))
     return 0
 
 
@@ -119,7 +119,7 @@
     path = out / f"cell{number}.result"
     if not path.exists():
         return []
-    return [msgspec.json.decode(path.read_bytes(), type=_cell.CellResult)]
+    return [msgspec.msgpack.decode(path.read_bytes(), type=_cell.CellResult)]
 
 
 def _say(text: str) -> None:
