--- a/packages/hollycart-core/src/hollycart_core/scheduling/_fair_queue.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_fair_queue.py
@@ -24,6 +24,19 @@
     queued_ms: float
 
 
+class Head(NamedTuple):
+    """The first request of a row.
+
+    Attributes:
+        item: The request.
+        lag: How far the row is ahead of the one that is due, in tokens of
+            work divided by weight; zero for the row that is due.
+    """
+
+    item: QueuedRequest
+    lag: float
+
+
 class _Flow:
     """Requests of one row in order of arrival."""
 
@@ -46,7 +59,7 @@
         >>> queue = FairQueue()
         >>> req = _types.PermitRequest("1", "i", "a", "k", 2.0, 0, 9, 1, 50.0)
         >>> queue.push(QueuedRequest(req, 10.0, 50.0, 0.0))
-        >>> [item.req.permit_id for item in queue.heads()]
+        >>> [head.item.req.permit_id for head in queue.heads()]
         ['1']
     """
 
@@ -70,14 +83,15 @@
         flow.waiting.append(item)
         self._account(flow, item.work_tokens, 1)
 
-    def heads(self) -> Iterator[QueuedRequest]:
+    def heads(self) -> Iterator[Head]:
         """Yields the first request of each row, the next one due first."""
         order = sorted(
             self._flows.values(),
             key=lambda f: (f.start_tag, f.waiting[0].req.priority),
         )
         for flow in order:
-            yield flow.waiting[0]
+            lag = flow.start_tag - order[0].start_tag
+            yield Head(flow.waiting[0], lag)
 
     def take(self, item: QueuedRequest) -> None:
         """Removes the first request of a row and charges the row for it."""
--- a/packages/hollycart-core/src/hollycart_core/scheduling/_policy.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_policy.py
@@ -9,6 +9,12 @@
 from hollycart_core.scheduling import _endpoint
 from hollycart_core.scheduling import _types
 
+_ANY = 99  # below every priority level
+_WAIT_GAIN = 0.9  # part of the time that waiting must at most take
+_SCARCE = 1  # free endpoints
+_ONE_STEP_TOKENS = 1.5 * _endpoint.CHUNK_TOKENS
+_STEP_LEFT = 0.5  # expected rest of a step that is under way
+
 
 class Candidate(NamedTuple):
     """An endpoint that may take the request.
@@ -154,7 +160,7 @@
     def __init__(
         self,
         rng: random.Random,
-        short_utilization: float = 0.5,
+        short_utilization: float = 0.45,
         backlog_ms: float = 150.0,
     ) -> None:
         self.rng = rng
@@ -179,13 +185,57 @@
         usable = [c for c in usable if self._can_start(c, req, priority)]
         if not usable:
             return None
-        return min(
+        if req.is_short:
+            usable = self._spare_scarce(usable, req, priority)
+        best = min(
             usable,
             key=lambda c: (
                 self._expected_tokens(c, req, priority),
                 self.rng.random(),
             ),
         )
+        if not req.is_short and self._better_later(
+            best, candidates, req, priority
+        ):
+            return None
+        return best
+
+    def _spare_scarce(
+        self,
+        usable: Sequence[Candidate],
+        req: _types.PermitRequest,
+        priority: int,
+    ) -> Sequence[Candidate]:
+        """Leaves the last free endpoint to prompts of more than one step.
+
+        A prompt of one step that overtakes long prefill still starts as soon
+        as a longer short prompt does on a free endpoint.
+        """
+        free = [c for c in usable if c.account.prefill_ahead(_ANY) <= 0]
+        if len(free) > _SCARCE:
+            return usable
+        overtaking = [
+            c
+            for c in usable
+            if c.account.prefill_behind(priority) > 0
+            and self._expected_tokens(c, req, priority) <= _ONE_STEP_TOKENS
+        ]
+        return overtaking or usable
+
+    def _better_later(
+        self,
+        best: Candidate,
+        candidates: Sequence[Candidate],
+        req: _types.PermitRequest,
+        priority: int,
+    ) -> bool:
+        """Returns whether a cached prefix elsewhere is worth waiting for."""
+        now = self._expected_tokens(best, req, priority)
+        return any(
+            self._expected_tokens(c, req, priority) < _WAIT_GAIN * now
+            for c in candidates
+            if c.cached_tokens > best.cached_tokens
+        )
 
     def reserve(self, load: PoolLoad) -> int:
         """Returns how many endpoints are kept free of long prefill."""
@@ -220,12 +270,12 @@
         ahead = account.prefill_ahead(priority)
         behind = account.prefill_behind(priority)
         step = min(_endpoint.CHUNK_TOKENS, behind)
-        return own + ahead + step
+        return own + ahead + step * _STEP_LEFT
 
 
 def _long_prefill(candidate: Candidate) -> float:
     account = candidate.account
-    return account.prefill_ahead(99) - account.prefill_ahead(0)
+    return account.prefill_ahead(_ANY) - account.prefill_ahead(0)
 
 
 POLICIES: dict[str, Callable[[random.Random], PlacementPolicy]] = {
--- a/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from hollycart_core import base
 from hollycart_core.scheduling import _endpoint
@@ -16,9 +17,19 @@
 PERMIT_LIFETIME_MS = 4_500.0
 MIN_RETRY_AFTER_MS = 1_000.0
 _RATE_WINDOW_MS = 10_000.0
+_REORDER_TOKENS = 200_000.0  # bound on the unfairness of going out of turn
+_ANY_PRIORITY = 99  # below every priority level
 _MEMORY_SHARE = 0.9  # of an endpoint, for one share of a large prompt
 
 
+class _Offer(NamedTuple):
+    """A request that could be placed now, and where."""
+
+    item: _fair_queue.QueuedRequest
+    chosen: list[_policy.Candidate]
+    cached_share: float
+
+
 class Pool:
     """Orders the load of the endpoints of one model in one cell.
 
@@ -54,6 +65,7 @@
         self._short_tokens: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
+        self._short_sum = 0
 
     @property
     def live(self) -> dict[str, _types.LivePermit]:
@@ -87,6 +99,7 @@
             return [refusal]
         if req.is_short:
             self._short_tokens.append((now_ms, req.prompt_tokens))
+            self._short_sum += req.prompt_tokens
         item = _fair_queue.QueuedRequest(
             req, _work(req), now_ms + req.time_left_ms, now_ms
         )
@@ -100,17 +113,13 @@
             Permits and refusals in the order of the decisions.
         """
         answers: list[_types.Answer] = list(self._give_up(now_ms))
-        placed = True
-        while placed and self.queue.length:
-            placed = False
-            for item in self.queue.heads():
-                permit = self._place(item, now_ms)
-                if permit is not None:
-                    self.queue.take(item)
-                    self._hold.release(permit.permit_id)
-                    answers.append(permit)
-                    placed = True
-                    break
+        while self.queue.length:
+            offer = self._next_offer(now_ms)
+            if offer is None:
+                break
+            self.queue.take(offer.item)
+            self._hold.release(offer.item.req.permit_id)
+            answers.append(self._grant(offer.item.req, offer.chosen, now_ms))
         return answers
 
     def cancel(self, permit_id: str) -> None:
@@ -130,6 +139,7 @@
             account = self.accounts.get(endpoint_id)
             if account is not None:
                 account.mark_first_token(permit_id, now_ms)
+            if account is not None and len(live.permit.endpoint_ids) == 1:
                 self.index.correct(
                     endpoint_id,
                     live.request.prefix_hashes,
@@ -254,9 +264,29 @@
             for i in late
         ]
 
-    def _place(
+    def _next_offer(self, now_ms: float) -> _Offer | None:
+        """Returns what to place next.
+
+        Short requests go in the order of the queue. Among the others that
+        are nearly due, the one with the largest share of its prompt in the
+        cache of an endpoint that is free now goes first.
+        """
+        best: _Offer | None = None
+        for head in self.queue.heads():
+            if best is not None and head.lag > _REORDER_TOKENS:
+                break
+            offer = self._offer(head.item, now_ms)
+            if offer is None:
+                continue
+            if head.item.req.is_short:
+                return offer
+            if best is None or offer.cached_share > best.cached_share:
+                best = offer
+        return best
+
+    def _offer(
         self, item: _fair_queue.QueuedRequest, now_ms: float
-    ) -> _types.Permit | None:
+    ) -> _Offer | None:
         req = item.req
         if self._running[req.team, req.kind] >= req.max_running:
             return None
@@ -267,11 +297,11 @@
             self._hold.consider(item, self._usable(req), shares, need, now_ms)
             return None
         if shares > 1:
-            return self._grant(req, _choose_shares(candidates, shares), now_ms)
+            return _Offer(item, _choose_shares(candidates, shares), 0.0)
         chosen = self.policy.choose(req, candidates, self._load(now_ms))
         if chosen is None:
             return None
-        return self._grant(req, [chosen], now_ms)
+        return _Offer(item, [chosen], chosen.cached_tokens / req.prompt_tokens)
 
     def _usable(
         self, req: _types.PermitRequest
@@ -321,8 +351,11 @@
         )
         self._add(_types.LivePermit(req, permit, False), now_ms)
         self._expires[req.permit_id] = now_ms + PERMIT_LIFETIME_MS
+        if len(permit.endpoint_ids) == 1:
+            self.index.add(permit.endpoint_ids[0], req.prefix_hashes, now_ms)
         for endpoint_id in permit.endpoint_ids:
-            self.index.add(endpoint_id, req.prefix_hashes, now_ms)
+            free = self.accounts[endpoint_id].free_tokens
+            self.index.shrink(endpoint_id, free)
         return permit
 
     def _add(self, live: _types.LivePermit, now_ms: float) -> None:
@@ -346,11 +379,12 @@
     def _load(self, now_ms: float) -> _policy.PoolLoad:
         window = self._short_tokens
         while window and window[0][0] < now_ms - _RATE_WINDOW_MS:
-            window.popleft()
-        tokens = sum(t for _, t in window)
+            self._short_sum -= window.popleft()[1]
         usable = [a for a in self.accounts.values() if not a.info.leaving]
         rate = sum(a.rate for a in usable) / max(1, len(usable))
-        return _policy.PoolLoad(tokens / _RATE_WINDOW_MS, len(usable), rate)
+        return _policy.PoolLoad(
+            self._short_sum / _RATE_WINDOW_MS, len(usable), rate
+        )
 
 
 def _work(req: _types.PermitRequest) -> float:
@@ -361,7 +395,7 @@
     candidates: list[_policy.Candidate], shares: int
 ) -> list[_policy.Candidate]:
     """Returns the endpoints with the least prefill, in one fixed order."""
-    candidates.sort(key=lambda c: c.account.prefill_ahead(99))
+    candidates.sort(key=lambda c: c.account.prefill_ahead(_ANY_PRIORITY))
     chosen = candidates[:shares]
     chosen.sort(key=lambda c: c.account.info.endpoint_id)
     return chosen
--- a/packages/hollycart-core/src/hollycart_core/scheduling/_prefix_index.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_prefix_index.py
@@ -4,46 +4,57 @@
 from collections.abc import Sequence
 
 BLOCK_TOKENS = 1024
-MAX_ENTRIES = 200_000
+MAX_BLOCKS = 20_000  # per endpoint
 ENTRY_LIFETIME_MS = 600_000.0
 
+_Blocks = collections.OrderedDict[int, float]
+
 
 class PrefixIndex:
-    """Maps prefix blocks to endpoints; a hint that decays.
+    """Mirrors the prefix caches of endpoints; a hint that decays.
 
-    Cache events are late and have gaps, so entries expire and are corrected
-    by the hits that answers report.
+    Cache events are late and have gaps. The index therefore follows what
+    endpoints must do: they store the blocks of every prompt and evict the
+    least recently used ones when running requests need the memory. Entries
+    expire and are corrected by the hits that answers report.
 
     Args:
-        max_entries: Bound on entries; the oldest are evicted.
+        max_blocks: Bound on entries per endpoint; the oldest are evicted.
 
     Example:
         >>> index = PrefixIndex()
         >>> index.add("e", [11, 22], now_ms=0.0)
         >>> index.match("e", [11, 22, 33], now_ms=1.0)
         2048
+        >>> index.shrink("e", 1024)
+        >>> index.match("e", [11, 22, 33], now_ms=1.0)
+        0
     """
 
-    def __init__(self, max_entries: int = MAX_ENTRIES) -> None:
-        self.max_entries = max_entries
-        self._entries: collections.OrderedDict[tuple[str, int], float] = (
-            collections.OrderedDict()
-        )
+    def __init__(self, max_blocks: int = MAX_BLOCKS) -> None:
+        self.max_blocks = max_blocks
+        self._endpoints: dict[str, _Blocks] = {}
 
     def add(
         self, endpoint_id: str, hashes: Sequence[int], now_ms: float
     ) -> None:
         """Notes that an endpoint caches the blocks."""
+        blocks = self._endpoints.setdefault(
+            endpoint_id, collections.OrderedDict()
+        )
         for block in hashes:
-            self._entries[endpoint_id, block] = now_ms
-            self._entries.move_to_end((endpoint_id, block))
-        while len(self._entries) > self.max_entries:
-            self._entries.popitem(last=False)
+            blocks[block] = now_ms
+            blocks.move_to_end(block)
+        self.shrink(endpoint_id, self.max_blocks * BLOCK_TOKENS)
 
-    def discard(self, endpoint_id: str, hashes: Sequence[int]) -> None:
-        """Notes that an endpoint no longer caches the blocks."""
-        for block in hashes:
-            self._entries.pop((endpoint_id, block), None)
+    def shrink(self, endpoint_id: str, limit_tokens: int) -> None:
+        """Evicts the oldest blocks until at most `limit_tokens` are held."""
+        blocks = self._endpoints.get(endpoint_id)
+        if blocks is None:
+            return
+        limit = max(0, limit_tokens) // BLOCK_TOKENS
+        while len(blocks) > limit:
+            blocks.popitem(last=False)
 
     def correct(
         self,
@@ -64,16 +75,18 @@
 
     def forget_endpoint(self, endpoint_id: str) -> None:
         """Drops all entries of an endpoint."""
-        for key in [k for k in self._entries if k[0] == endpoint_id]:
-            del self._entries[key]
+        self._endpoints.pop(endpoint_id, None)
 
     def match(
         self, endpoint_id: str, hashes: Sequence[int], now_ms: float
     ) -> int:
         """Returns the expected hit, in tokens."""
+        blocks = self._endpoints.get(endpoint_id)
+        if not blocks:
+            return 0
         hit = 0
         for block in hashes:
-            noted_ms = self._entries.get((endpoint_id, block))
+            noted_ms = blocks.get(block)
             if noted_ms is None or now_ms - noted_ms > ENTRY_LIFETIME_MS:
                 break
             hit += 1
--- a/packages/hollycart-core/src/hollycart_core/scheduling/tests/test_fair_queue.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/tests/test_fair_queue.py
@@ -17,7 +17,7 @@
 
 
 def _serve(queue):
-    item = next(iter(queue.heads()))
+    item = next(iter(queue.heads())).item
     queue.take(item)
     return item
 
--- a/packages/hollycart-core/src/hollycart_core/scheduling/tests/test_pool.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/tests/test_pool.py
@@ -44,7 +44,7 @@
         pool.submit(_req(50_000), 0.0)
     long_at = {p.endpoint_ids[0] for p in _permits(pool.dispatch(0.0))}
     for _ in range(2):
-        pool.submit(_req(1000), 0.0)
+        pool.submit(_req(4000), 0.0)
     short_at = {p.endpoint_ids[0] for p in _permits(pool.dispatch(0.0))}
     assert not long_at & short_at
 
@@ -182,6 +182,55 @@
     assert all(a.requests == 0 for a in pool.accounts.values())
 
 
+def test_request_with_a_cached_prefix_goes_first_where_it_is_cached(pool):
+    """Two rows wait for the one endpoint that is free."""
+    blocks = tuple(range(100, 116))
+    pool.set_endpoints(_infos(1))
+    pool.index.add("e0", blocks, 0.0)
+    pool.submit(_req(20_000, team="a", permit_id="cold"), 0.0)
+    warm = _req(20_000, team="b", permit_id="warm", prefix_hashes=blocks)
+    pool.submit(warm, 0.0)
+    assert pool.dispatch(0.0)[0].permit_id == "warm"
+
+
+def test_going_out_of_turn_is_bounded(pool):
+    """A row that always has its prefix cached does not starve the other."""
+    blocks = tuple(range(100, 116))
+    pool.set_endpoints(_infos(1))
+    pool.index.add("e0", blocks, 0.0)
+    now = 0.0
+    pool.submit(_req(20_000, team="a", permit_id="cold"), now)
+    for number in range(40):
+        warm = _req(20_000, team="b", prefix_hashes=blocks)
+        pool.submit(warm, now)
+        for permit in _permits(pool.dispatch(now)):
+            if permit.permit_id == "cold":
+                assert number < 30
+                return
+            pool.release(permit.permit_id, now)
+        now += 1000.0
+    raise AssertionError("the request that was due starved")
+
+
+def test_predicted_cache_shrinks_with_promised_memory(pool):
+    pool.set_endpoints(_infos(1))
+    pool.index.add("e0", tuple(range(60)), 0.0)
+    pool.submit(_req(70_000), 0.0)
+    assert _permits(pool.dispatch(0.0))
+    assert pool.index.match("e0", tuple(range(60)), 0.0) == 0
+
+
+def test_last_free_endpoint_is_left_to_longer_short_prompts(pool):
+    pool.set_endpoints(_infos(2))
+    pool.submit(_req(50_000), 0.0)
+    busy = _permits(pool.dispatch(0.0))[0].endpoint_ids[0]
+    pool.submit(_req(1_000, permit_id="small"), 0.0)
+    pool.submit(_req(4_000, permit_id="large"), 0.0)
+    at = {p.permit_id: p.endpoint_ids[0] for p in pool.dispatch(0.0)}
+    assert at["small"] == busy
+    assert at["large"] != busy
+
+
 class PoolMachine(stateful.RuleBasedStateMachine):
     """Memory is never promised twice and every request gets one answer."""
 
--- a/packages/hollycart-core/src/hollycart_core/scheduling/tests/test_prefix_index.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/tests/test_prefix_index.py
@@ -16,7 +16,7 @@
 
 
 def test_index_is_bounded():
-    index = scheduling.PrefixIndex(max_entries=3)
+    index = scheduling.PrefixIndex(max_blocks=3)
     index.add("e", [1, 2, 3, 4], now_ms=0.0)
     assert index.match("e", [1], now_ms=0.0) == 0
     assert index.match("e", [4], now_ms=0.0) == 1024
--- a/packages/hollycart/src/hollycart/entry/_settings.py
+++ b/packages/hollycart/src/hollycart/entry/_settings.py
@@ -102,7 +102,7 @@
     "short_utilization": SettingSpec(
         "Utilization that endpoints kept for short requests may reach; a "
         "lower value protects short requests more.",
-        "0.5",
+        "0.45",
         0.05,
         1.0,
     ),
