Recovery cases: restart storm, lost zone, cut halves, long outage

make recover measures, under load, time to recover, refused work, peaks of calls and bytes and growth of memory. Halves are cut by relays between the instances of two lists.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 
 scale: setup
 	$(BENCH) scale $(if $(QUICK),--quick)
+
+recover: setup
+	$(BENCH) recover --seed $(SEED)
--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -11,6 +11,7 @@
 
 from hollycart_bench import measure as experiments
 from hollycart_bench import prove as proofs
+from hollycart_bench import recover as recovery
 from hollycart_bench import run
 from hollycart_bench import scale as scaling
 
@@ -137,6 +138,19 @@
     return 0
 
 
+def recover(
+    *, outage_s: float = 60.0, seed: int = 1, out: str = "out/recover"
+) -> int:
+    """Measures the time to recover from four large failures.
+
+    Args:
+        outage_s: Length of the key-value service's outage, in seconds.
+        seed: Seed of the load.
+        out: Folder for the output of the processes.
+    """
+    return recovery.run_cases(pathlib.Path(out), outage_s, seed)
+
+
 def cell(spec: pathlib.Path) -> int:
     """Runs one cell of an experiment.
 
@@ -151,6 +165,7 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(
         defopt.run(
-            [sample, up, prove, measure, scale, cell], no_negated_flags=True
+            [sample, up, prove, measure, scale, recover, cell],
+            no_negated_flags=True,
         )
     )
--- a/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from hollycart_bench.fleet import _process
+from hollycart_bench.fleet import _relay
 from hollycart_core import base
 from hollycart_core import http
 from hollycart_core import membership
@@ -41,6 +42,8 @@
         balancer: Whether to start the balancer.
         unchecking: Number of engines that ignore fencing numbers.
         start_pause_s: Pause between the starts of instances, in seconds.
+        halves: Whether the instances form two halves whose calls to each
+            other can be cut.
     """
 
     instances: int = 6
@@ -55,6 +58,7 @@
     balancer: bool = True
     unchecking: int = 2
     start_pause_s: float = 0.0
+    halves: bool = False
 
 
 class Fleet:
@@ -74,6 +78,8 @@
         self.hosts: dict[str, str] = {}
         self.kv_address = ""
         self.list_address = ""
+        self.other_list_address = ""
+        self.relays: dict[str, _relay.CuttableRelay] = {}
         self.weight_address = ""
         self.balancer_address = ""
         self.keys: dict[str, str] = {}
@@ -138,11 +144,39 @@
         """Returns the process behind an entry."""
         return self.processes[self.hosts.get(name, name)]
 
-    def publish(
-        self, entries: dict[str, Any], address: str | None = None
-    ) -> None:
-        """Changes the instance list; None removes an entry."""
-        self.control(address or self.list_address, "entries", entries)
+    def publish(self, entries: dict[str, membership.ListEntry]) -> None:
+        """Changes the instance list."""
+        if not self.spec.halves:
+            self.control(self.list_address, "entries", entries)
+            return
+        addresses = (self.list_address, self.other_list_address)
+        for half, address in enumerate(addresses):
+            seen = {n: self._seen_from(half, e) for n, e in entries.items()}
+            self.control(address, "entries", seen)
+
+    def half_of(self, name: str) -> int:
+        """Returns the half that an instance belongs to."""
+        return int(name[1:]) % 2
+
+    def cut(self, cut: bool) -> None:
+        """Cuts the two halves from each other, or joins them."""
+        for relay in self.relays.values():
+            relay.set_cut(cut)
+
+    def _seen_from(
+        self, half: int, entry: membership.ListEntry
+    ) -> membership.ListEntry:
+        """Instances of the other half are reached through a relay."""
+        if entry.kind != membership.KIND_INSTANCE:
+            return entry
+        if self.half_of(entry.entry_id) == half:
+            return entry
+        relay = self.relays.get(entry.entry_id)
+        if relay is None:
+            relay = _relay.CuttableRelay(HOST, entry.peer_address)
+            relay.start()
+            self.relays[entry.entry_id] = relay
+        return entry._replace(peer_address=relay.address)
 
     def set_leaving(self, name: str, leaving: bool) -> None:
         """Marks an entry as leaving in the list."""
@@ -284,6 +318,11 @@
             "list", "run-list", "--lag-ms", str(self.spec.list_lag_ms)
         )
         self.weight_address = self._start_standin("weights", "run-weights")
+        if self.spec.halves:
+            self.other_list_address = self._start_standin(
+                "list2", "run-list", "--lag-ms", str(self.spec.list_lag_ms)
+            )
+            self._wait_port(self.other_list_address)
         for address in (self.kv_address, self.list_address):
             self._wait_port(address)
 
@@ -380,7 +419,7 @@
             "HOLLYCART_PORT": str(port),
             "HOLLYCART_PEER_PORT": str(peer_port),
             "HOLLYCART_KV_ADDRESS": self.kv_address,
-            "HOLLYCART_LIST_ADDRESS": self.list_address,
+            "HOLLYCART_LIST_ADDRESS": self._list_of(name),
             "HOLLYCART_OPERATOR_KEY_DIGEST": digest,
             "HOLLYCART_PEER_SECRET": PEER_SECRET,
             **self.spec.settings,
@@ -392,6 +431,11 @@
             environ,
         )
 
+    def _list_of(self, name: str) -> str:
+        if self.spec.halves and self.half_of(name):
+            return self.other_list_address
+        return self.list_address
+
     def _start_standin(self, name: str, *argv: str) -> str:
         port = free_port()
         self._start_host(name, [*argv, "--port", str(port)])
--- a/packages/hollycart-bench/src/hollycart_bench/platform/_balancer.py
+++ b/packages/hollycart-bench/src/hollycart_bench/platform/_balancer.py
@@ -66,11 +66,7 @@
         except OSError:
             conn.close()
             return
-        other = eventlet.spawn(_copy, upstream, conn)
-        _copy(conn, upstream)
-        other.wait()
-        conn.close()
-        upstream.close()
+        join(conn, upstream)
 
     def _connect(self) -> Any:
         for _ in range(len(self._ready)):
@@ -84,6 +80,15 @@
         raise OSError("no target is ready")
 
 
+def join(conn: Any, upstream: Any) -> None:
+    """Copies both ways between two sockets until both have ended."""
+    other = eventlet.spawn(_copy, upstream, conn)
+    _copy(conn, upstream)
+    other.wait()
+    conn.close()
+    upstream.close()
+
+
 def _copy(source: Any, sink: Any) -> None:
     try:
         while True:
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/recover/_runner.py
@@ -0,0 +1,263 @@
+"""Runs the cases under load and reports what callers saw."""
+
+import pathlib
+import random
+import sys
+import time
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import msgspec
+
+from hollycart_bench import fleet
+from hollycart_bench import load
+from hollycart_bench.recover import _cases
+from hollycart_core import base
+
+_RATE = 25.0  # completions per second
+_EFFECT_RATE = 5.0  # non-idempotent calls per second
+_BEFORE_S = 5.0
+_AFTER_S = 20.0
+_WINDOW_MS = 1000.0
+_GOOD_SHARE = 0.99
+_GOOD_WINDOWS = 3
+
+
+class CaseResult(NamedTuple):
+    """What was seen of one case.
+
+    Attributes:
+        name: The case.
+        lasted_s: How long the failure lasted, in seconds.
+        recover_s: From its end until completions succeed again, in seconds.
+        effects_recover_s: The same for non-idempotent calls.
+        sent: Requests sent.
+        failed: Requests that broke or failed.
+        refused: Requests refused with a time to come back.
+        wrong: Requests answered wrongly or after their deadline.
+        peak_kv_calls_s: Most calls to the key-value service in a second.
+        peak_peer_kb_s: Most bytes between instances in a second, per
+            instance, in KB.
+        memory_growth_mb: Largest growth of an instance that ran throughout.
+        members_agree: Whether all instances see the same members at the end.
+    """
+
+    name: str
+    lasted_s: float
+    recover_s: float
+    effects_recover_s: float
+    sent: int
+    failed: int
+    refused: int
+    wrong: int
+    peak_kv_calls_s: float
+    peak_peer_kb_s: float
+    memory_growth_mb: float
+    members_agree: bool
+
+
+class _Sampler:
+    """Reads calls and bytes once a second."""
+
+    def __init__(self, system: fleet.Fleet) -> None:
+        self.system = system
+        self.kv_calls: list[int] = []
+        self.peer_bytes: dict[str, list[int]] = {}
+        self.memory: dict[str, list[float]] = {}
+
+    def run(self) -> None:
+        while True:
+            self._sample()
+            eventlet.sleep(1.0)
+
+    def peak_kv_calls(self) -> float:
+        pairs = zip(self.kv_calls, self.kv_calls[1:], strict=False)
+        return max((b - a for a, b in pairs), default=0)
+
+    def peak_peer_kb(self) -> float:
+        peaks = [0.0]
+        for series in self.peer_bytes.values():
+            pairs = zip(series, series[1:], strict=False)
+            peaks += [(b - a) / 1000 for a, b in pairs]
+        return max(peaks)
+
+    def memory_growth(self) -> float:
+        longest = max(len(s) for s in self.memory.values())
+        whole = [s for s in self.memory.values() if len(s) >= longest - 2]
+        return max(s[-1] - s[min(3, len(s) - 1)] for s in whole)
+
+    def _sample(self) -> None:
+        calls = self.system.read(self.system.kv_address, "/control/calls")
+        self.kv_calls.append(sum(calls["calls"].values()))
+        for name in self.system.instance_names():
+            if not self.system.running(name):
+                continue
+            try:
+                status = self.system.status(name)
+            except base.HollycartError:
+                continue
+            total = status["peer_bytes_sent"] + status["peer_bytes_received"]
+            self.peer_bytes.setdefault(name, []).append(total)
+            self.memory.setdefault(name, []).append(status["memory_mb"])
+
+
+def run_cases(out: pathlib.Path, outage_s: float, seed: int) -> int:
+    """Runs all cases and prints a table.
+
+    Args:
+        out: Folder for the output of the processes.
+        outage_s: Length of the key-value service's outage, in seconds.
+        seed: Seed of the load.
+
+    Returns:
+        Zero if nothing was wrong and everything recovered.
+    """
+    results = []
+    for name in _cases.CASES:
+        result = _run_case(name, out / name.replace(" ", "-"), outage_s, seed)
+        results.append(result)
+        sys.stdout.write(f"{result}\n")
+        sys.stdout.flush()
+    out.mkdir(parents=True, exist_ok=True)
+    (out / "recover.json").write_bytes(msgspec.json.encode(results))
+    bad = [r for r in results if r.wrong or not r.members_agree]
+    slow = [r for r in results if r.recover_s > _AFTER_S]
+    return 1 if bad or slow else 0
+
+
+def _run_case(
+    name: str, log_dir: pathlib.Path, outage_s: float, seed: int
+) -> CaseResult:
+    spec = fleet.FleetSpec(
+        engines=12,
+        engines_per_process=1,
+        balancer=False,
+        halves=name == "halves cut",
+        settings={"HOLLYCART_LIST_LAG_MS": "1200"},
+    )
+    system = fleet.Fleet(spec, log_dir)
+    workload = load.HINOKUNI
+    try:
+        system.start()
+        system.load_table(workload.table_csv(), list(workload.teams))
+        return _under_load(name, system, outage_s, seed)
+    finally:
+        system.close()
+
+
+def _under_load(
+    name: str, system: fleet.Fleet, outage_s: float, seed: int
+) -> CaseResult:
+    rng = random.Random(seed)
+    client = load.LoadClient(
+        system.spec.model,
+        system.keys,
+        lambda _: _address(system, rng),
+        seed,
+    )
+    sampler = _Sampler(system)
+    threads = [eventlet.spawn(sampler.run)]
+    stop: list[bool] = []
+    sender = eventlet.spawn(_send_until, client, stop, rng)
+    eventlet.sleep(_BEFORE_S)
+    started = time.time()
+    _cases.CASES[name](system, outage_s)
+    ended = time.time()
+    eventlet.sleep(_AFTER_S)
+    stop.append(True)
+    sender.wait()
+    threads[0].kill()
+    members = [system.status(n)["members"] for n in system.instance_names()]
+    return _judge(name, client.results, started, ended, sampler, members)
+
+
+def _address(system: fleet.Fleet, rng: random.Random) -> str:
+    names = [
+        n
+        for n in system.instance_names()
+        if system.running(n) and not system.entries[n].leaving
+    ]
+    return system.entries[rng.choice(names)].address
+
+
+def _send_until(
+    client: load.LoadClient, stop: list[bool], rng: random.Random
+) -> None:
+    threads = []
+    number = 0
+    while not stop:
+        effect = rng.random() < _EFFECT_RATE / (_RATE + _EFFECT_RATE)
+        arrival = load.Arrival(
+            0.0,
+            "team-0",
+            "release" if effect else "draft",
+            0 if effect else rng.randrange(1000, 4000),
+            0,
+            "",
+            0 if effect else 24,
+            5_000,
+            True,
+            number,
+        )
+        number += 1
+        key = f"r{number}" if effect else ""
+        threads.append(eventlet.spawn(_send_one, client, arrival, key))
+        eventlet.sleep(rng.expovariate(_RATE + _EFFECT_RATE))
+    for thread in threads:
+        thread.wait()
+
+
+def _send_one(client: load.LoadClient, arrival: load.Arrival, key: str) -> None:
+    client.results.append(client.send(arrival, key))
+
+
+def _judge(
+    name: str,
+    results: list[load.CallResult],
+    started: float,
+    ended: float,
+    sampler: _Sampler,
+    members: list[Any],
+) -> CaseResult:
+    effects = [r for r in results if r.arrival.is_effect]
+    others = [r for r in results if not r.arrival.is_effect]
+    refused = ("refused", "not_run", "unknown")
+    late_ms = 5_250.0
+    return CaseResult(
+        name,
+        ended - started,
+        _recover_s(others, ended),
+        _recover_s(effects, ended),
+        len(results),
+        sum(r.outcome in ("failed", "lost", "deadline") for r in results),
+        sum(r.outcome in refused for r in results),
+        sum(r.outcome == "wrong" or r.total_ms > late_ms for r in results),
+        sampler.peak_kv_calls(),
+        sampler.peak_peer_kb(),
+        sampler.memory_growth(),
+        len({tuple(m) for m in members}) == 1,
+    )
+
+
+def _recover_s(results: list[load.CallResult], ended: float) -> float:
+    """Returns when whole windows begin to be good again, in seconds."""
+    last_s = (max(r.began_wall_ms for r in results) / 1000.0) - ended
+    good_since = 0.0
+    window = 0
+    streak = 0
+    while window < last_s:
+        low = ended * 1000 + window * _WINDOW_MS
+        inside = [
+            r for r in results if low <= r.began_wall_ms < low + _WINDOW_MS
+        ]
+        good = sum(r.outcome == "ok" for r in inside)
+        if inside and good < _GOOD_SHARE * len(inside):
+            streak = 0
+            good_since = window + 1
+        else:
+            streak += 1
+        if streak >= _GOOD_WINDOWS:
+            return float(good_since)
+        window += 1
+    return float("inf")
--- a/packages/hollycart-bench/src/hollycart_bench/scale/_probe.py
+++ b/packages/hollycart-bench/src/hollycart_bench/scale/_probe.py
@@ -1,6 +1,5 @@
 """What one instance uses, read from outside and from its status."""
 
-import os
 import time
 from typing import Any
 from typing import NamedTuple
@@ -9,8 +8,6 @@
 
 from hollycart_bench import fleet
 
-_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-
 
 class Usage(NamedTuple):
     """Use of one instance over a window.
@@ -75,7 +72,7 @@
         name,
         any(p["owner"] == name for p in pools),
         (after["cpu_s"] - before["cpu_s"]) / elapsed_s,
-        _memory_mb(system.process(name).pid),
+        after["memory_mb"],
         (_bytes(after) - _bytes(before)) / elapsed_s,
         (_calls(after) - _calls(before)) / elapsed_s,
         (_requests(after) - _requests(before)) / elapsed_s,
@@ -92,8 +89,3 @@
 
 def _requests(status: dict[str, Any]) -> int:
     return status["counters"].get("request.completion", 0)
-
-
-def _memory_mb(pid: int) -> float:
-    with open(f"/proc/{pid}/statm", encoding="ascii") as file:
-        return int(file.read().split()[1]) * _PAGE_BYTES / 1e6
--- a/packages/hollycart/src/hollycart/entry/_instance.py
+++ b/packages/hollycart/src/hollycart/entry/_instance.py
@@ -1,5 +1,6 @@
 """One entry instance: its parts, start and close."""
 
+import os
 import random
 import time
 from typing import Any
@@ -192,6 +193,7 @@
             "counters": dict(self.metrics.counters),
             "invariant_checks": base.invariant_checks(),
             "cpu_s": time.process_time(),
+            "memory_mb": _memory_mb(),
             "max_stall_ms": self.max_stall_ms,
         }
 
@@ -333,3 +335,10 @@
             observe.log_event(
                 "task_failed", error=type(exc).__name__, detail=str(exc)[:200]
             )
+
+
+def _memory_mb() -> float:
+    """Returns the resident memory of the process, in MB."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        pages = int(file.read().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
