Cut halves join again; not run is told before the key is free

Cause: exchanges went only to instances heard of lately. Ruled out: the relays (new connections passed). Two causes were possible. The claim of a call proven not sent was released before its caller was told: now it is released after (test fails before). A duplicate in flight while the first is refused cannot be seen by any look-up: the check now identifies the call by its attempt, which the answer names.

--- a/packages/hollycart-bench/src/hollycart_bench/load/_client.py
+++ b/packages/hollycart-bench/src/hollycart_bench/load/_client.py
@@ -36,6 +36,7 @@
         ended_wall_ms: Wall clock at the final answer, in ms.
         address: The instance or balancer that was asked last.
         began_wall_ms: Wall clock at the start, in ms.
+        attempt_id: The attempt that an answer `not run` is about.
     """
 
     arrival: _plan.Arrival
@@ -51,6 +52,7 @@
     ended_wall_ms: float
     address: str
     began_wall_ms: float
+    attempt_id: str
 
 
 class _Seen:
@@ -67,6 +69,7 @@
         self.text: list[str] = []
         self.body = b""
         self.address = ""
+        self.attempt_id = ""
         self.began_wall_ms = time.time() * 1000.0
 
     def elapsed_ms(self) -> float:
@@ -153,6 +156,7 @@
             time.time() * 1000.0,
             seen.address,
             seen.began_wall_ms,
+            seen.attempt_id,
         )
 
     def _try(self, arrival: _plan.Arrival, key: str, seen: _Seen) -> str:
@@ -293,6 +297,7 @@
         retry = headers.get("Retry-After")
         seen.retry_after_ms = float(retry) * 1000.0 if retry else 0.0
         told = headers.get("Hollycart-Outcome", "")
+        seen.attempt_id = headers.get("Hollycart-Attempt", "")
         if told == "unknown":
             return "unknown"
         if told == "not-run":
--- a/packages/hollycart-core/src/hollycart_core/base/_errors.py
+++ b/packages/hollycart-core/src/hollycart_core/base/_errors.py
@@ -16,6 +16,9 @@
         retry_after_ms: When the caller may try again, in ms; None where a
             repetition would fail in the same way.
 
+    Attributes:
+        attempt_id: The attempt that the failure is about, if any.
+
     Example:
         >>> OverloadedError("queue full", retry_after_ms=1500).http_status
         503
@@ -30,6 +33,7 @@
         super().__init__(detail)
         self.detail = detail
         self.retry_after_ms = retry_after_ms
+        self.attempt_id = ""
 
 
 class InvalidRequestError(HollycartError):
--- a/packages/hollycart-core/src/hollycart_core/membership/_view.py
+++ b/packages/hollycart-core/src/hollycart_core/membership/_view.py
@@ -134,6 +134,12 @@
             i for i, k in self._known.items() if self._heard(k, now_ms)
         )
 
+    def silent(self, now_ms: float) -> list[str]:
+        """Returns listed instances that were not heard of, sorted."""
+        return sorted(
+            i for i, k in self._known.items() if not self._heard(k, now_ms)
+        )
+
     def known_revisions(self) -> dict[str, int]:
         """Returns the table revision in force per other instance."""
         return {i: k.digest.table_revision for i, k in self._known.items()}
--- a/packages/hollycart/src/hollycart/entry/_app.py
+++ b/packages/hollycart/src/hollycart/entry/_app.py
@@ -157,6 +157,8 @@
     if exc.retry_after_ms is not None:
         seconds = max(1, -(-int(exc.retry_after_ms) // 1000))
         headers.append(("Retry-After", str(seconds)))
+    if exc.attempt_id:
+        headers.append(("Hollycart-Attempt", exc.attempt_id))
     if isinstance(exc, base.NotRunError):
         headers.append(("Hollycart-Outcome", "not-run"))
     if isinstance(exc, base.OutcomeUnknownError):
--- a/packages/hollycart/src/hollycart/entry/_directory.py
+++ b/packages/hollycart/src/hollycart/entry/_directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import random
 
+import eventlet
 from eventlet import semaphore
 
 from hollycart import observe
@@ -11,6 +12,7 @@
 from hollycart_core import membership
 
 _EXCHANGE_FANOUT = 2
+_SILENT_SHARE = 0.25  # of the exchanges
 _STALE_MS = 1500.0
 _EXCHANGE_TIMEOUT_MS = 1000
 
@@ -91,12 +93,20 @@
         return self.clock.now_ms() - self._tried_ms > _STALE_MS
 
     def exchange(self) -> None:
-        """Exchanges heartbeats with a few other instances."""
+        """Exchanges heartbeats with a few other instances.
+
+        Now and then a silent one is tried too, so that two parts that were
+        cut from each other join again.
+        """
         self.view.beat()
         now_ms = self.clock.now_ms()
         others = self.view.reachable(now_ms)
         count = min(len(others), _EXCHANGE_FANOUT)
-        for instance_id in self.rng.sample(others, count):
+        chosen = self.rng.sample(others, count)
+        silent = self.view.silent(now_ms)
+        if silent and self.rng.random() < _SILENT_SHARE:
+            eventlet.spawn_n(self._exchange_with, self.rng.choice(silent))
+        for instance_id in chosen:
             self._exchange_with(instance_id)
 
     def handle_exchange(
--- a/packages/hollycart/src/hollycart/entry/_service_calls.py
+++ b/packages/hollycart/src/hollycart/entry/_service_calls.py
@@ -29,6 +29,7 @@
 _LOOKUP_PAUSE_MS = 300.0
 _SETTLE_RESERVE_MS = 100.0
 _SETTLE_WAIT_MS = 1_000.0
+_RELEASE_DELAY_S = 0.05
 _REFUSE_RESERVE_MS = 1_200.0  # to ask the service after a claim timed out
 _MAX_KEY = 128  # characters
 _NOT_RUN_RETRY_MS = 1_000.0
@@ -103,12 +104,17 @@
             return iter(_respond(start_response, done))
         if not call.key:
             raise base.InvalidRequestError("Idempotency-Key is required")
-        outcome = self._run_claimed(call)
+        attempt_id = self.services.attempt_ids.next_id()
+        outcome = self._run_claimed(call, attempt_id)
+        if isinstance(outcome, base.Done):
+            return iter(_respond(start_response, outcome))
+        exc: base.HollycartError
         if isinstance(outcome, base.NotRun):
-            raise base.NotRunError(outcome.reason, outcome.retry_after_ms)
-        if isinstance(outcome, base.Unknown):
-            raise base.OutcomeUnknownError(outcome.reason)
-        return iter(_respond(start_response, outcome))
+            exc = base.NotRunError(outcome.reason, outcome.retry_after_ms)
+        else:
+            exc = base.OutcomeUnknownError(outcome.reason)
+        exc.attempt_id = attempt_id
+        raise exc
 
     def _parse(self, environ: dict[str, Any], caller: _auth.Caller) -> _Call:
         clock = self.services.clock
@@ -155,9 +161,8 @@
                 if not more or not self.services.budget.take():
                     raise
 
-    def _run_claimed(self, call: _Call) -> base.Outcome:
+    def _run_claimed(self, call: _Call, attempt_id: str) -> base.Outcome:
         services = self.services
-        attempt_id = services.attempt_ids.next_id()
         left_ms = call.deadline.remaining_ms(services.clock)
         call_end_ms = services.clock.wall_ms() + left_ms
         ask = claims.ClaimRequest(
@@ -245,9 +250,25 @@
         if isinstance(outcome, base.Unknown):
             outcome = self._ask_service(call) or outcome
         self.services.metrics.count(f"outcome.{type(outcome).__name__.lower()}")
-        self._settle(call, attempt_id, outcome)
+        if isinstance(outcome, base.NotRun):
+            self._release_after_answer(call, attempt_id, outcome)
+        else:
+            self._settle(call, attempt_id, outcome)
         return outcome
 
+    def _release_after_answer(
+        self, call: _Call, attempt_id: str, outcome: base.NotRun
+    ) -> None:
+        """Releases a claim once its caller has been told `not run`.
+
+        Until then no other call under the key may run.
+        """
+        eventlet.spawn_after(
+            _RELEASE_DELAY_S,
+            self.services.claim_service.settle,
+            _settlement(call.key, attempt_id, outcome),
+        )
+
     def _send_once(self, call: _Call, attempt_id: str) -> base.Outcome:
         """Sends a claimed call; only a proof of not sending lets it go on."""
         tried: list[str] = []
--- a/packages/hollycart/src/hollycart/entry/tests/test_service_calls.py
+++ b/packages/hollycart/src/hollycart/entry/tests/test_service_calls.py
@@ -181,3 +181,18 @@
     headers = {"Idempotency-Key": "k14", "Hollycart-Deadline-Ms": "3000"}
     reply = system.post(PATH, {"sum": 1}, 0, headers, timeout_ms=10_000)
     assert reply.headers["Hollycart-Outcome"] == "done"
+
+
+def test_answer_not_run_comes_before_the_key_is_free_again(system):
+    """Otherwise another call could run before the caller is told."""
+    for name in ("s0", "s1"):
+        system.set_entry(name, address="127.0.0.1:1")
+    eventlet.sleep(0.3)
+    service = system.instances[0]._server.app.service_calls
+    released = []
+    service.services.claim_service.settle = released.append
+    reply = _call(system, "k15")
+    assert reply.headers["Hollycart-Outcome"] == "not-run"
+    assert released == []
+    system.wait_for(lambda: released)
+    assert reply.headers["Hollycart-Attempt"] == released[0].attempt_id
