Watchers read the steps of the table instead of the whole

A watcher now reads the history records after its revision and the whole table only if they are no longer kept. Ruled out as a risk: edits between read and watch, the watch starts at the store revision of the last read. The test counts whole reads after an edit: none. The outage test now also blocks this path, so that the news still has to come from a peer.

--- a/packages/hollycart-core/src/hollycart_core/table/_store.py
+++ b/packages/hollycart-core/src/hollycart_core/table/_store.py
@@ -55,11 +55,34 @@
     teams: tuple[_rows.TeamRow, ...] = ()
 
 
-class _Stored(NamedTuple):
+class StoredTable(NamedTuple):
+    """A table as it was read.
+
+    Attributes:
+        table: The table.
+        store_revision: Revision of the key-value service; the table holds
+            every edit up to it.
+        head_revision: Revision of the last write of the head.
+    """
+
     table: _table.Table
+    store_revision: int
     head_revision: int
 
 
+class StoredDeltas(NamedTuple):
+    """Steps as they were read.
+
+    Attributes:
+        deltas: The steps after a revision of the table.
+        store_revision: Revision of the key-value service; the steps hold
+            every edit up to it.
+    """
+
+    deltas: tuple[_table.Delta, ...]
+    store_revision: int
+
+
 def _shard_of(row_key: str) -> str:
     owner = row_key.split("/")[1]
     return f"{_SHARD}{xxhash.xxh64_intdigest(owner.encode()) % SHARDS:02d}"
@@ -95,7 +118,24 @@
         Raises:
             KvUnavailableError: If the service does not answer.
         """
-        return self._load().table
+        return self.load().table
+
+    def read_deltas(self, revision: int) -> StoredDeltas:
+        """Returns the steps after a revision, without the whole table.
+
+        Raises:
+            KvUnavailableError: If the service does not answer.
+        """
+        deltas: list[_table.Delta] = []
+        while True:
+            number = revision + len(deltas) + 1
+            found = self.store.range(_history_key(number))
+            if not found.items:
+                return StoredDeltas(tuple(deltas), found.revision)
+            record = msgspec.json.decode(
+                found.items[0].value, type=HistoryRecord
+            )
+            deltas.append(_table.Delta(number, record.changes))
 
     def history(self) -> list[HistoryRecord]:
         """Returns the kept edits, the oldest first."""
@@ -129,7 +169,7 @@
         """
         first_revision = 0
         while True:
-            stored = self._load()
+            stored = self.load()
             first_revision = first_revision or stored.table.revision + 1
             accepted = self._find_edit(edit_id, first_revision, stored.table)
             if accepted is not None:
@@ -139,7 +179,12 @@
             if self._write(stored, delta, edit_id, author):
                 return delta
 
-    def _load(self) -> _Stored:
+    def load(self) -> StoredTable:
+        """Reads the whole table with the revisions it was read at.
+
+        Raises:
+            KvUnavailableError: If the service does not answer.
+        """
         found = self.store.range(PREFIX)
         head = HeadRecord(0, "")
         head_mod = 0
@@ -152,7 +197,8 @@
             shard = msgspec.json.decode(item.value, type=_ShardRecord)
             rows.extend(shard.limits)
             rows.extend(shard.teams)
-        return _Stored(_table.Table.build(head.revision, rows), head_mod)
+        table = _table.Table.build(head.revision, rows)
+        return StoredTable(table, found.revision, head_mod)
 
     def _find_edit(
         self, edit_id: str, first_revision: int, table: _table.Table
@@ -180,7 +226,7 @@
 
     def _write(
         self,
-        stored: _Stored,
+        stored: StoredTable,
         delta: _table.Delta,
         edit_id: str,
         author: str,
@@ -204,7 +250,7 @@
             self.clock.sleep_ms(_RETRY_PAUSE_MS)
             try:
                 found = self.store.range(_history_key(revision))
-                current = self._load().table.revision
+                current = self.load().table.revision
             except base.KvUnavailableError:
                 continue
             if found.items:
--- a/packages/hollycart/src/hollycart/entry/_table_sync.py
+++ b/packages/hollycart/src/hollycart/entry/_table_sync.py
@@ -78,7 +78,7 @@
             self.clock.sleep_ms(_RETRY_MS)
             return
         if changed:
-            self._read_store()
+            self._catch_up()
 
     def pull_if_behind(self) -> None:
         """Fetches steps from a peer that has a newer revision."""
@@ -120,16 +120,29 @@
         order = base.rank("table-watch", view.live(now_ms))
         return view.own.entry_id in order[:_WATCHERS]
 
+    def _catch_up(self) -> None:
+        """Reads the new steps; the whole table if they are not kept."""
+        before = self.follower.current.revision
+        try:
+            found = self.tables.read_deltas(before)
+        except base.KvUnavailableError:
+            self.metrics.count("table.read_failed")
+            return
+        self.follower.offer_deltas(found.deltas)
+        if self.follower.current.revision == before:
+            self._read_store()
+            return
+        self._watch_revision = found.store_revision
+        self.metrics.count("table.caught_up")
+
     def _read_store(self) -> bool:
         try:
-            found = self.store.range(table.PREFIX)
-            current = self.tables.read()
+            stored = self.tables.load()
         except base.KvUnavailableError:
             self.metrics.count("table.read_failed")
             return False
-        if found.items:
-            self._watch_revision = max(i.mod_revision for i in found.items)
-        if self.follower.offer(current):
+        self._watch_revision = stored.store_revision
+        if self.follower.offer(stored.table):
             self.metrics.count("table.applied")
         return True
 
--- a/packages/hollycart/src/hollycart/entry/tests/test_instance.py
+++ b/packages/hollycart/src/hollycart/entry/tests/test_instance.py
@@ -106,10 +106,22 @@
         )
 
 
+def test_watchers_read_the_steps_and_not_the_whole_table(system):
+    before = [i.metrics.counters["table.applied"] for i in system.instances]
+    revision = _edit(system).revision
+    for instance in system.instances:
+        system.wait_for(
+            lambda i=instance: i.follower.current.revision == revision
+        )
+    after = [i.metrics.counters["table.applied"] for i in system.instances]
+    assert after == before
+
+
 def test_table_reaches_all_although_the_service_goes_down(system):
     """One instance is told by the operators' command, the others by it."""
     for instance in system.instances:
         instance.table_sync._read_store = lambda: False
+        instance.table_sync._catch_up = lambda: None
     delta = _edit(system)
     system.kv_app.faults.down = True
     body = msgspec.json.encode([delta])
