--- a/packages/hollycart-core/src/hollycart_core/scheduling/_policy.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_policy.py
@@ -56,12 +56,12 @@
     def engine_priority(self, req: _types.PermitRequest) -> int:
         """Returns the priority that the endpoint is given."""
 
-    def has_room_for_long(
+    def has_room_for_medium(
         self,
         accounts: Collection[_endpoint.EndpointAccount],
         load: PoolLoad,
     ) -> bool:
-        """Returns False if no prompt over the short length can be placed."""
+        """Returns False if no prompt of medium length can be placed."""
 
     def choose(
         self,
@@ -85,7 +85,7 @@
         del req
         return 0
 
-    def has_room_for_long(
+    def has_room_for_medium(
         self,
         accounts: Collection[_endpoint.EndpointAccount],
         load: PoolLoad,
@@ -188,7 +188,7 @@
         """Returns the size band, one more for patient rows."""
         return req.size_band + (1 if req.priority >= 2 else 0)
 
-    def has_room_for_long(
+    def has_room_for_medium(
         self,
         accounts: Collection[_endpoint.EndpointAccount],
         load: PoolLoad,
@@ -273,7 +273,7 @@
     def _open_for_long(
         self, candidates: Sequence[Candidate], load: PoolLoad
     ) -> list[Candidate]:
-        if not self.has_room_for_long([c.account for c in candidates], load):
+        if not self.has_room_for_medium([c.account for c in candidates], load):
             return []
         return [c for c in candidates if _long_prefill(c.account) <= 0]
 
--- a/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
@@ -225,15 +225,17 @@
         accounts = self.accounts.values()
         for account in accounts:
             account.advance(now_ms)
-        room = self.policy.has_room_for_long(accounts, self._load(now_ms))
+        room = self.policy.has_room_for_medium(accounts, self._load(now_ms))
         examined = 0
         for head in self.queue.heads():
             if best is not None and head.lag > _REORDER_TOKENS:
                 break
-            if not head.item.req.is_short:
-                examined += 1
-                if not room or examined > _MAX_EXAMINED:
-                    continue
+            band = head.item.req.size_band
+            if band == 1 and not room:
+                continue
+            examined += band > 0
+            if band > 0 and examined > _MAX_EXAMINED:
+                continue
             offer = self._offer(head.item, now_ms)
             if offer is None:
                 continue
