--- a/packages/hollycart-bench/src/hollycart_bench/fleet/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/__init__.py
@@ -2,10 +2,10 @@
 
 from hollycart_bench.fleet._fleet import OPERATOR_KEY
 from hollycart_bench.fleet._fleet import Fleet
-from hollycart_bench.fleet._fleet import FleetSpec
 from hollycart_bench.fleet._fleet import free_port
 from hollycart_bench.fleet._process import BenchProcess
 from hollycart_bench.fleet._process import python_module
+from hollycart_bench.fleet._spec import FleetSpec
 
 __all__ = [
     "OPERATOR_KEY",
--- a/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
@@ -7,14 +7,14 @@
 import tempfile
 import time
 from typing import Any
-from typing import NamedTuple
 
 import eventlet
 import msgspec
 
+from hollycart_bench.fleet import _halves
 from hollycart_bench.fleet import _operator
 from hollycart_bench.fleet import _process
-from hollycart_bench.fleet import _relay
+from hollycart_bench.fleet import _spec
 from hollycart_core import base
 from hollycart_core import http
 from hollycart_core import membership
@@ -25,42 +25,6 @@
 _READY_TIMEOUT_S = 60.0
 
 
-class FleetSpec(NamedTuple):
-    """Size and settings of a system.
-
-    Attributes:
-        instances: Entry instances.
-        engines: Model engines.
-        services: Endpoints of the plain service.
-        zones: Availability zones.
-        engines_per_process: Engines that share a process; one to kill them
-            one by one.
-        capacity_tokens: KV-cache memory of an engine, in tokens.
-        model: The model.
-        settings: Further environment of the instances.
-        list_lag_ms: Lag of the instance list, in ms.
-        balancer: Whether to start the balancer.
-        unchecking: Number of engines that ignore fencing numbers.
-        start_pause_s: Pause between the starts of instances, in seconds.
-        halves: Whether the instances form two halves whose calls to each
-            other can be cut.
-    """
-
-    instances: int = 6
-    engines: int = 14
-    services: int = 3
-    zones: int = 3
-    engines_per_process: int = 7
-    capacity_tokens: int = 400_000
-    model: str = "draft"
-    settings: dict[str, str] = {}
-    list_lag_ms: float = 500.0
-    balancer: bool = True
-    unchecking: int = 2
-    start_pause_s: float = 0.0
-    halves: bool = False
-
-
 class Fleet:
     """A running system: stand-ins, entry instances and a balancer.
 
@@ -69,7 +33,7 @@
         log_dir: Folder for the output of the processes.
     """
 
-    def __init__(self, spec: FleetSpec, log_dir: pathlib.Path) -> None:
+    def __init__(self, spec: _spec.FleetSpec, log_dir: pathlib.Path) -> None:
         self.spec = spec
         self.log_dir = log_dir
         self.client = http.HttpClient()
@@ -79,7 +43,7 @@
         self.kv_address = ""
         self.list_address = ""
         self.other_list_address = ""
-        self.relays: dict[str, _relay.CuttableRelay] = {}
+        self.halves = _halves.Halves(HOST)
         self.weight_address = ""
         self.balancer_address = ""
         self.keys: dict[str, str] = {}
@@ -153,32 +117,14 @@
             return
         addresses = (self.list_address, self.other_list_address)
         for half, address in enumerate(addresses):
-            seen = {n: self._seen_from(half, e) for n, e in entries.items()}
+            seen = {
+                n: self.halves.seen_from(half, e) for n, e in entries.items()
+            }
             self.control(address, "entries", seen)
 
-    def half_of(self, name: str) -> int:
-        """Returns the half that an instance belongs to."""
-        return int(name[1:]) % 2
-
     def cut(self, cut: bool) -> None:
         """Cuts the two halves from each other, or joins them."""
-        for relay in self.relays.values():
-            relay.set_cut(cut)
-
-    def _seen_from(
-        self, half: int, entry: membership.ListEntry
-    ) -> membership.ListEntry:
-        """Instances of the other half are reached through a relay."""
-        if entry.kind != membership.KIND_INSTANCE:
-            return entry
-        if self.half_of(entry.entry_id) == half:
-            return entry
-        relay = self.relays.get(entry.entry_id)
-        if relay is None:
-            relay = _relay.CuttableRelay(HOST, entry.peer_address)
-            relay.start()
-            self.relays[entry.entry_id] = relay
-        return entry._replace(peer_address=relay.address)
+        self.halves.cut(cut)
 
     def set_leaving(self, name: str, leaving: bool) -> None:
         """Marks an entry as leaving in the list."""
@@ -391,7 +337,7 @@
         )
 
     def _list_of(self, name: str) -> str:
-        if self.spec.halves and self.half_of(name):
+        if self.spec.halves and _halves.half_of(name):
             return self.other_list_address
         return self.list_address
 
