--- a/packages/hollycart-bench/src/hollycart_bench/load/_summary.py
+++ b/packages/hollycart-bench/src/hollycart_bench/load/_summary.py
@@ -19,13 +19,16 @@
 def first_token_table(
     results: list[_client.CallResult],
 ) -> dict[str, dict[str, float]]:
-    """Returns count and percentiles of time to first token by band, in ms."""
+    """Returns count and percentiles of time to first token by band, in ms.
+
+    Only streamed answers count; others show no first token.
+    """
     rows = {}
     for band in BANDS:
         times = [
             r.first_ms
             for r in results
-            if r.arrival.band == band and r.first_ms > 0
+            if r.arrival.band == band and r.arrival.stream and r.first_ms > 0
         ]
         rows[band] = {
             "n": len(times),
