--- a/packages/hollycart-bench/src/hollycart_bench/fleet/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/__init__.py
@@ -2,7 +2,6 @@
 
 from hollycart_bench.fleet._fleet import OPERATOR_KEY
 from hollycart_bench.fleet._fleet import Fleet
-from hollycart_bench.fleet._fleet import free_port
 from hollycart_bench.fleet._process import BenchProcess
 from hollycart_bench.fleet._process import python_module
 from hollycart_bench.fleet._spec import FleetSpec
@@ -12,6 +11,5 @@
     "BenchProcess",
     "Fleet",
     "FleetSpec",
-    "free_port",
     "python_module",
 ]
--- a/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/_fleet.py
@@ -3,7 +3,6 @@
 import hashlib
 import pathlib
 import signal
-import socket
 import tempfile
 import time
 from typing import Any
@@ -11,6 +10,7 @@
 import eventlet
 import msgspec
 
+from hollycart_bench import ports
 from hollycart_bench.fleet import _halves
 from hollycart_bench.fleet import _operator
 from hollycart_bench.fleet import _process
@@ -19,7 +19,7 @@
 from hollycart_core import http
 from hollycart_core import membership
 
-HOST = "127.0.0.1"
+HOST = ports.HOST
 OPERATOR_KEY = "operator-key-of-the-bench"
 PEER_SECRET = "peer-secret-of-the-bench"
 _READY_TIMEOUT_S = 60.0
@@ -236,12 +236,12 @@
         step = self.spec.engines_per_process
         for first in range(0, count, step):
             numbers = range(first, min(count, first + step))
-            ports = {n: free_port() for n in numbers}
+            port_of = {n: ports.free_port() for n in numbers}
             host = f"engines{first}"
             argv = [
                 "run-engine",
                 "--ports",
-                ",".join(str(p) for p in ports.values()),
+                ",".join(str(p) for p in port_of.values()),
                 "--capacity-tokens",
                 str(self.spec.capacity_tokens),
                 "--model",
@@ -253,7 +253,7 @@
             if not checks:
                 argv.append("--no-checks-fence")
             self._start_host(host, argv)
-            for number, port in ports.items():
+            for number, port in port_of.items():
                 self._add_engine(number, port, host, checks)
 
     def _add_engine(
@@ -274,7 +274,7 @@
 
     def _start_services(self) -> None:
         for number in range(self.spec.services):
-            port = free_port()
+            port = ports.free_port()
             name = f"s{number}"
             journal = self.log_dir / f"{name}.journal"
             journal.unlink(missing_ok=True)
@@ -299,7 +299,7 @@
             )
 
     def _start_balancer(self) -> None:
-        port = free_port()
+        port = ports.free_port()
         self.balancer_address = f"{HOST}:{port}"
         targets = [self.entries[n].address for n in self.instance_names()]
         argv = ["run-balancer", "--port", str(port)]
@@ -308,7 +308,7 @@
         self._wait_port(self.balancer_address)
 
     def _add_instance(self, name: str, number: int) -> None:
-        port, peer_port = free_port(), free_port()
+        port, peer_port = ports.free_port(), ports.free_port()
         self.entries[name] = membership.ListEntry(
             name,
             membership.KIND_INSTANCE,
@@ -342,7 +342,7 @@
         return self.list_address
 
     def _start_standin(self, name: str, *argv: str) -> str:
-        port = free_port()
+        port = ports.free_port()
         self._start_host(name, [*argv, "--port", str(port)])
         return f"{HOST}:{port}"
 
@@ -368,10 +368,3 @@
 
     def _zone(self, number: int) -> str:
         return f"zone-{number % self.spec.zones}"
-
-
-def free_port() -> int:
-    """Returns a TCP port of loopback that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
--- a/packages/hollycart-bench/src/hollycart_bench/local.py
+++ b/packages/hollycart-bench/src/hollycart_bench/local.py
@@ -10,12 +10,13 @@
 from hollycart import entry
 from hollycart_bench import engine
 from hollycart_bench import platform
+from hollycart_bench import ports
 from hollycart_core import base
 from hollycart_core import http
 from hollycart_core import membership
 from hollycart_core import table
 
-HOST = "127.0.0.1"
+HOST = ports.HOST
 TEAM_KEY = "team-key"
 OPERATOR_KEY = "operator-key"
 MODEL = "draft"
@@ -92,7 +93,7 @@
 
     def add_instance(self, name: str) -> entry.Instance:
         """Starts one more instance."""
-        port, peer_port = (_free_port() for _ in range(2))
+        port, peer_port = (ports.free_port() for _ in range(2))
         values = {
             "instance_id": name,
             "port": str(port),
@@ -198,10 +199,3 @@
 
 def _digest(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
-
-
-def _free_port() -> int:
-    sock = eventlet.listen((HOST, 0))
-    port = sock.getsockname()[1]
-    sock.close()
-    return port
