Back-off between attempts; a large prompt may use an endpoint that failed it

Likely cause, by reading, without a trace of that request: a share found no memory, and all six attempts went within milliseconds, each shutting out the first endpoint and not the one that had refused. The first repetition is now at once, later ones after 200 ms and more, and the refusing endpoint is avoided. The new test then showed a second fault: a prompt that needs every endpoint waited for ever once one was avoided; it may now use it.

--- a/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
@@ -269,11 +269,12 @@
     ) -> list[_endpoint.EndpointAccount]:
         """Returns endpoints that may take a request.
 
-        Endpoints that failed it are avoided unless there is no other.
+        Endpoints that failed it are avoided unless the others are too few.
         """
         staying = [a for a in self.accounts.values() if not a.info.leaving]
         others = [a for a in staying if a.info.endpoint_id not in req.excluded]
-        return others or staying
+        shares = _admission.share_count(req, self.accounts.values())
+        return others if len(others) >= shares else staying
 
     def _candidates(
         self, req: _types.PermitRequest, need: int, now_ms: float
--- a/packages/hollycart/src/hollycart/entry/_relay.py
+++ b/packages/hollycart/src/hollycart/entry/_relay.py
@@ -17,6 +17,7 @@
 
 _MAX_ATTEMPTS = 6
 _STALL_MS = 3_000.0
+_BACK_OFF_MS = 100.0
 
 
 class Piece(NamedTuple):
@@ -75,7 +76,7 @@
         self.deadline = deadline
         self._assembler = streams.StreamAssembler()
         self._reason = ""
-        self._first_seen = False
+        self._failed_id = ""
 
     def pieces(self) -> Iterator[Piece]:
         """Yields the answer in order, each token once.
@@ -98,6 +99,15 @@
                 if last or not self.services.budget.take():
                     raise
                 self.services.metrics.count("attempt.repeated")
+                self._back_off(attempt)
+
+    def _back_off(self, attempt: int) -> None:
+        """Repeats once at once, then at growing intervals."""
+        if attempt == 0:
+            return
+        left_ms = self.deadline.remaining_ms(self.services.clock)
+        pause_ms = _BACK_OFF_MS * 2**attempt
+        self.services.clock.sleep_ms(min(pause_ms, left_ms / 2))
 
     def _attempt(self) -> Iterator[Piece]:
         attempt_id = self.services.attempt_ids.next_id()
@@ -202,15 +212,18 @@
         if count == 1:
             return
         share = -(-self.ask.memory_tokens // count)
-        for address in held.addresses[1:]:
+        pairs = zip(held.permit.endpoint_ids, held.addresses, strict=True)
+        for endpoint_id, address in list(pairs)[1:]:
             sent.append(address)
             if not self.services.engine_client.reserve(
                 address, attempt_id, share
             ):
+                self._failed_id = endpoint_id
                 raise base.EndpointUnreachableError("no memory for a share")
 
     def _exclude(self, held: _permit_client.HeldPermit) -> None:
-        failed = held.permit.endpoint_ids[:1]
+        failed = (self._failed_id or held.permit.endpoint_ids[0],)
+        self._failed_id = ""
         self.ask = self.ask._replace(
             excluded=(*self.ask.excluded, *failed)[-4:], resumed=True
         )
--- a/packages/hollycart/src/hollycart/entry/tests/test_completions.py
+++ b/packages/hollycart/src/hollycart/entry/tests/test_completions.py
@@ -261,3 +261,14 @@
     )
     counters = [i.metrics.counters for i in system.instances]
     assert sum(c["orphan.cancelled"] for c in counters) == 0
+
+
+def test_large_prompt_outlasts_a_short_lack_of_memory(small_engines):
+    """The engine is full for a moment that its owner does not know of."""
+    full = small_engines.engines[1]
+    taken = engine.Sequence("other", "", [], 2_500, 0, 0, 0, 0)
+    assert full.batcher.reserve(taken)
+    for instance in small_engines.instances:
+        instance.owner.collect_orphans = lambda: None
+    eventlet.spawn_after(0.7, full.batcher.cancel, "other")
+    assert small_engines.post(PATH, _body("y" * 28_000)).status == 200
