--- a/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
+++ b/packages/hollycart-core/src/hollycart_core/scheduling/_pool.py
@@ -138,9 +138,10 @@
         self._live[permit_id] = live._replace(first_token_seen=True)
         for endpoint_id in live.permit.endpoint_ids:
             account = self.accounts.get(endpoint_id)
-            if account is not None:
-                account.mark_first_token(permit_id, now_ms)
-            if account is not None and len(live.permit.endpoint_ids) == 1:
+            if account is None:
+                continue
+            account.mark_first_token(permit_id, now_ms)
+            if len(live.permit.endpoint_ids) == 1:
                 self.index.correct(
                     endpoint_id,
                     live.request.prefix_hashes,
