Platform adapter and gateway: the thin whole path on the users' platform

Cause: the product had no front for opaque requests with a declared prompt length and no adapter to the platform. Change: core packages routing, connections (h11) and placement; the gateway in hollycart; headers, store, documents and settings translated in platform/; deploy file. Placement minimises predicted loss with work shared by datagrams.

--- a/packages/hollycart-core/src/hollycart_core/base/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/base/__init__.py
@@ -1,5 +1,6 @@
 """Shared types: clock, failures, outcomes, identifiers."""
 
+from hollycart_core.base._clock import BootClock
 from hollycart_core.base._clock import Clock
 from hollycart_core.base._clock import ManualClock
 from hollycart_core.base._clock import SystemClock
@@ -19,6 +20,8 @@
 from hollycart_core.base._errors import KvUnavailableError
 from hollycart_core.base._errors import LeaseLostError
 from hollycart_core.base._errors import MethodNotAllowedError
+from hollycart_core.base._errors import NoEndpointError
+from hollycart_core.base._errors import NotExecutedError
 from hollycart_core.base._errors import NotFoundError
 from hollycart_core.base._errors import NotRunError
 from hollycart_core.base._errors import OutcomeUnknownError
@@ -26,6 +29,8 @@
 from hollycart_core.base._errors import PayloadTooLargeError
 from hollycart_core.base._errors import PeerUnreachableError
 from hollycart_core.base._errors import RateLimitedError
+from hollycart_core.base._errors import SilentEndpointError
+from hollycart_core.base._errors import StaleConfigError
 from hollycart_core.base._errors import StoreFullError
 from hollycart_core.base._errors import UnauthorizedError
 from hollycart_core.base._errors import VersionConflictError
@@ -45,6 +50,7 @@
     "AttemptId",
     "AttemptIds",
     "BodyTimeoutError",
+    "BootClock",
     "Clock",
     "Deadline",
     "DeadlineExceededError",
@@ -62,6 +68,8 @@
     "LeaseLostError",
     "ManualClock",
     "MethodNotAllowedError",
+    "NoEndpointError",
+    "NotExecutedError",
     "NotFoundError",
     "NotRun",
     "NotRunError",
@@ -72,6 +80,8 @@
     "PeerUnreachableError",
     "PeriodicTask",
     "RateLimitedError",
+    "SilentEndpointError",
+    "StaleConfigError",
     "StoreFullError",
     "SystemClock",
     "UnauthorizedError",
--- a/packages/hollycart-core/src/hollycart_core/base/_clock.py
+++ b/packages/hollycart-core/src/hollycart_core/base/_clock.py
@@ -51,6 +51,19 @@
         eventlet.sleep(max(0.0, duration_ms) / 1000.0 / self.factor)
 
 
+class BootClock(SystemClock):
+    """A clock whose time also passes while the host is suspended.
+
+    Example:
+        >>> BootClock().now_ms() > 0
+        True
+    """
+
+    def now_ms(self) -> float:
+        """Returns time since the host started, in ms."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
 class ManualClock:
     """A clock that moves only when told to, for deterministic tests.
 
--- a/packages/hollycart-core/src/hollycart_core/base/_errors.py
+++ b/packages/hollycart-core/src/hollycart_core/base/_errors.py
@@ -132,6 +132,34 @@
     code = "endpoint_unreachable"
 
 
+class SilentEndpointError(EndpointFailedError):
+    """An endpoint sent nothing in the time that was granted."""
+
+    code = "endpoint_silent"
+    http_status = 504
+
+
+class NotExecutedError(HollycartError):
+    """An endpoint rejected a request and says that it has not run."""
+
+    code = "endpoint_rejected"
+    http_status = 503
+
+
+class NoEndpointError(HollycartError):
+    """No endpoint of the service may receive a request."""
+
+    code = "no_endpoint"
+    http_status = 503
+
+
+class StaleConfigError(HollycartError):
+    """The configuration is not proven to be recent enough to act on."""
+
+    code = "stale_config"
+    http_status = 503
+
+
 class DeadlineExceededError(HollycartError):
     """The deadline passed before the answer was complete."""
 
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/connections/_messages.py
@@ -0,0 +1,90 @@
+"""Heads of requests and responses as they are on the connection."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+# Names and values of header fields in their order, as sent.
+Headers = tuple[tuple[bytes, bytes], ...]
+
+# RFC 9110, section 7.6.1: fields that concern one connection only.
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+class RequestHead(NamedTuple):
+    """Method, raw target and header fields of a request."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+
+class ResponseHead(NamedTuple):
+    """Status and header fields of a response.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header fields.
+        length: Bytes of the body, None if not declared.
+    """
+
+    status: int
+    headers: Headers
+    length: int | None = None
+
+
+class Reply(NamedTuple):
+    """A whole answer to a short call."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str:
+    """Returns the first value of a field, empty if it is missing.
+
+    Args:
+        headers: Names and values.
+        name: Lower-case name.
+
+    Example:
+        >>> find_header([(b"Host", b"a")], b"host")
+        'a'
+    """
+    for key, value in headers:
+        if key.lower() == name:
+            return value.decode("latin-1").strip()
+    return ""
+
+
+def end_to_end_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Returns the fields that do not concern a single connection.
+
+    Example:
+        >>> end_to_end_headers([(b"Connection", b"x"), (b"X", b"1"), (b"A", b"")])
+        ((b'A', b''),)
+    """
+    fields = list(headers)
+    named = {
+        token.strip().lower()
+        for key, value in fields
+        if key.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    return tuple(
+        (key, value)
+        for key, value in fields
+        if key.lower() not in _HOP_BY_HOP and key.lower() not in named
+    )
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -0,0 +1,363 @@
+"""Chooses endpoints for prompts by predicted times."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from hollycart_core.placement import _engine_model
+from hollycart_core.placement import _health
+from hollycart_core.placement import _load_view
+from hollycart_core.placement import _types
+
+# Numbers of endpoints that are tried for one prompt.
+_SHARE_COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
+# Part of a pause that predictions may fill; the rest covers their error.
+_PAUSE_SHARE = 0.85
+# Part of the target from which a prompt counts as partly late.
+_SAFE_SHARE = 0.5
+# Loss per use of the whole target, so that sooner is better.
+_SOONER = 0.1
+# Loss where a short answer begins to occupy an endpoint without such answers:
+# it keeps long prompts from being read there.
+_OPEN_LOSS = 0.04
+# Loss per helper: its connections and the smallest step.
+_HELPER_LOSS = 0.004
+# Loss for leaving the availability zone of the instance.
+_ZONE_LOSS = 0.002
+# Part of an endpoint's memory that predictions may fill.
+_MEMORY_SHARE = 0.96
+# Part of the loss of a prompt that is late but still answered.
+_LATE_LOSS = 0.75
+# A prompt whose first event is overdue is taken to need this part of its
+# reading again, at least this long, in ms.
+_OVERDUE_SHARE = 0.2
+_OVERDUE_MS = 10.0
+
+
+class _State(NamedTuple):
+    """What is predicted for an endpoint before the prompt is added."""
+
+    endpoint: _types.Endpoint
+    wait_ms: float
+    pass_ms: float
+    slowness: float
+    writers: tuple[_types.Work, ...]
+    readers: tuple[_types.Work, ...]
+    slots_used: int
+    helping: int
+    memory_tokens: int
+
+    @property
+    def slots_free(self) -> int:
+        return self.endpoint.slots - self.slots_used
+
+
+class Placer:
+    """Minimises the predicted loss over all prompts, one prompt at a time.
+
+    Short answers are packed on few endpoints, since writers slow each other
+    little; long prompts are split over the others, so that each part ends
+    within the pauses that the writers there allow. The division follows the
+    load because it is made anew with each prompt.
+
+    Args:
+        view: Work at the endpoints.
+        health: Outcomes by endpoint.
+    """
+
+    def __init__(
+        self, view: _load_view.LoadView, health: _health.EndpointHealth
+    ) -> None:
+        self.view = view
+        self.health = health
+
+    def choose(
+        self,
+        prompt: _types.Prompt,
+        model: _engine_model.EngineModel,
+        endpoints: Iterable[_types.Endpoint],
+        now_ms: float,
+    ) -> _types.Placement | None:
+        """Returns the placement with the smallest loss.
+
+        Args:
+            prompt: The prompt.
+            model: Step model of the service.
+            endpoints: Endpoints that may be used.
+            now_ms: Current instant.
+
+        Returns:
+            None if no endpoint can take the prompt.
+        """
+        states = [self._state(e, model, now_ms) for e in endpoints]
+        mains = [s for s in states if self._fits(s, prompt, model)]
+        if not mains:
+            return None
+        helpers = [s for s in states if s.helping < s.endpoint.slots]
+        best: _types.Placement | None = None
+        for count in _SHARE_COUNTS:
+            if count > 1 and count > len(helpers):
+                break
+            found = self._with_shares(
+                prompt, model, mains, helpers, count, now_ms
+            )
+            if found is not None and (best is None or found.cost < best.cost):
+                best = found
+        return best
+
+    def _with_shares(
+        self,
+        prompt: _types.Prompt,
+        model: _engine_model.EngineModel,
+        mains: list[_State],
+        helpers: list[_State],
+        count: int,
+        now_ms: float,
+    ) -> _types.Placement | None:
+        part_ms = model.read_ms(prompt.tokens, count)
+        harms = {
+            s.endpoint.id: self._harm(s, part_ms, prompt, now_ms)
+            for s in helpers
+        }
+
+        def helper_loss(state: _State) -> float:
+            wait_ms = self._finish_ms(state, part_ms)
+            return harms[state.endpoint.id] + self._delay_loss(
+                prompt, wait_ms
+            )
+
+        ranked = sorted(helpers, key=helper_loss) if count > 1 else []
+        best: tuple[float, float, _State, list[_State]] | None = None
+        for main in self._main_candidates(prompt, mains, part_ms, now_ms):
+            others = [s for s in ranked if s.endpoint != main.endpoint]
+            chosen = others[: count - 1]
+            if len(chosen) < count - 1:
+                continue
+            finish_ms = self._finish_ms(main, part_ms) + self._slot_wait_ms(
+                main, prompt, model
+            )
+            for state in chosen:
+                finish_ms = max(finish_ms, self._finish_ms(state, part_ms))
+            cost = (
+                self._delay_loss(prompt, finish_ms)
+                + self._harm(main, part_ms, prompt, now_ms)
+                + self._main_loss(main, prompt)
+                + sum(harms[s.endpoint.id] for s in chosen)
+                + _HELPER_LOSS * len(chosen)
+            )
+            if best is None or cost < best[0]:
+                best = (cost, finish_ms, main, chosen)
+        if best is None:
+            return None
+        cost, finish_ms, main, chosen = best
+        works = [self._work(prompt, main, True, part_ms, finish_ms, now_ms)]
+        works += [
+            self._work(
+                prompt,
+                state,
+                False,
+                part_ms,
+                self._finish_ms(state, part_ms),
+                now_ms,
+            )
+            for state in chosen
+        ]
+        return _types.Placement(
+            main.endpoint,
+            tuple(s.endpoint for s in chosen),
+            tuple(works),
+            finish_ms,
+            cost,
+        )
+
+    def _main_candidates(
+        self,
+        prompt: _types.Prompt,
+        mains: list[_State],
+        part_ms: float,
+        now_ms: float,
+    ) -> list[_State]:
+        """Returns the few mains that are worth a full evaluation."""
+
+        def loss(state: _State) -> float:
+            return (
+                self._harm(state, part_ms, prompt, now_ms)
+                + self._delay_loss(prompt, self._finish_ms(state, part_ms))
+                + self._main_loss(state, prompt)
+                + (0.0 if state.slots_free > 0 else 1.0)
+            )
+
+        return sorted(mains, key=loss)[:3]
+
+    def _state(
+        self,
+        endpoint: _types.Endpoint,
+        model: _engine_model.EngineModel,
+        now_ms: float,
+    ) -> _State:
+        writers: list[_types.Work] = []
+        readers: list[_types.Work] = []
+        wait_ms = 0.0
+        slots = helping = memory = context = 0
+        for work in self.view.at(endpoint.id):
+            if work.main:
+                slots += 1
+                memory += work.memory_tokens
+            else:
+                helping += 1
+            if work.writing:
+                writers.append(work)
+                context += work.context_tokens
+                continue
+            readers.append(work)
+            left_ms = work.ready_ms - now_ms
+            if left_ms < 0:
+                left_ms = max(_OVERDUE_MS, _OVERDUE_SHARE * work.read_ms)
+            wait_ms = max(wait_ms, min(left_ms, wait_ms + work.read_ms))
+        slowness = self.health.slowness(endpoint.id)
+        return _State(
+            endpoint,
+            wait_ms,
+            model.pass_ms(len(writers), context) * slowness,
+            slowness,
+            tuple(writers),
+            tuple(readers),
+            slots,
+            helping,
+            memory,
+        )
+
+    def _fits(
+        self,
+        state: _State,
+        prompt: _types.Prompt,
+        model: _engine_model.EngineModel,
+    ) -> bool:
+        total = model.parameters.memory_tokens * _MEMORY_SHARE
+        needed = prompt.tokens + prompt.output_tokens
+        return state.memory_tokens + needed <= total
+
+    def _finish_ms(self, state: _State, part_ms: float) -> float:
+        """Returns when a part would be read, in ms from now.
+
+        A pass in progress is half done on average; the part is read in the
+        next one, and the first event follows at its end.
+        """
+        return (
+            1.5 * state.pass_ms + state.wait_ms + part_ms * state.slowness
+        )
+
+    def _slot_wait_ms(
+        self,
+        state: _State,
+        prompt: _types.Prompt,
+        model: _engine_model.EngineModel,
+    ) -> float:
+        if state.slots_free > 0:
+            return 0.0
+        slot_ms = model.write_ms(prompt.output_tokens) / state.endpoint.slots
+        return slot_ms * (1 - state.slots_free)
+
+    def _delay_loss(self, prompt: _types.Prompt, finish_ms: float) -> float:
+        """Returns the prompt's own loss if it is read in `finish_ms`."""
+        used = finish_ms / max(1.0, prompt.target_ms)
+        late = min(1.0, max(0.0, (used - _SAFE_SHARE) / (1.0 - _SAFE_SHARE)))
+        over = min(1.0, finish_ms / max(1.0, prompt.left_ms))
+        return prompt.weight * (
+            _LATE_LOSS * late
+            + (1.0 - _LATE_LOSS) * over
+            + _SOONER * min(used, 10.0)
+        )
+
+    def _harm(
+        self,
+        state: _State,
+        part_ms: float,
+        prompt: _types.Prompt,
+        now_ms: float,
+    ) -> float:
+        """Returns the loss of others at an endpoint if a part is read there."""
+        before_ms = state.pass_ms + state.wait_ms
+        after_ms = before_ms + part_ms * state.slowness
+        loss = 0.0
+        for work in state.writers:
+            allowed_ms = work.pause_ms * _PAUSE_SHARE
+            if before_ms <= allowed_ms < after_ms:
+                loss += work.weight * _LATE_LOSS
+        for work in state.readers:
+            if not work.main:
+                continue
+            slack_ms = work.due_ms - max(now_ms, work.ready_ms)
+            if 0 <= slack_ms < part_ms:
+                loss += work.weight * _LATE_LOSS
+            elif slack_ms >= part_ms:
+                loss += work.weight * _SOONER * part_ms / (slack_ms + part_ms)
+        # A pass that is too long for the prompt's own events.
+        if state.pass_ms > prompt.pause_ms * _PAUSE_SHARE:
+            loss += prompt.weight * _LATE_LOSS
+        return loss
+
+    def _main_loss(self, state: _State, prompt: _types.Prompt) -> float:
+        """Returns the loss of writing the answer at an endpoint."""
+        loss = 0.0
+        if prompt.zone and state.endpoint.zone != prompt.zone:
+            loss += _ZONE_LOSS
+        alike = any(w.pause_ms <= prompt.pause_ms for w in state.writers)
+        alike = alike or any(
+            w.main and w.pause_ms <= prompt.pause_ms for w in state.readers
+        )
+        if not alike:
+            loss += _OPEN_LOSS
+        return loss
+
+    def _work(
+        self,
+        prompt: _types.Prompt,
+        state: _State,
+        main: bool,
+        part_ms: float,
+        finish_ms: float,
+        now_ms: float,
+    ) -> _types.Work:
+        return _types.Work(
+            attempt=prompt.attempt,
+            endpoint=state.endpoint.id,
+            main=main,
+            writing=False,
+            read_ms=part_ms * state.slowness,
+            ready_ms=now_ms + finish_ms,
+            due_ms=now_ms + prompt.target_ms,
+            pause_ms=prompt.pause_ms,
+            context_tokens=prompt.tokens if main else 0,
+            memory_tokens=prompt.tokens + prompt.output_tokens if main else 0,
+            weight=prompt.weight,
+        )
+
+
+def least_busy(
+    endpoints: Iterable[_types.Endpoint],
+    running: Mapping[str, int],
+    zone: str,
+) -> _types.Endpoint | None:
+    """Returns the endpoint with the smallest share of its slots in use.
+
+    Args:
+        endpoints: Endpoints that may be used.
+        running: Requests in progress by endpoint.
+        zone: Preferred availability zone where the shares are equal.
+
+    Example:
+        >>> a = _types.Endpoint("a", "1:1", "s", "z", 2)
+        >>> b = _types.Endpoint("b", "1:2", "s", "z", 2)
+        >>> least_busy([a, b], {"a": 1}, "z").id
+        'b'
+    """
+    return min(
+        endpoints,
+        key=lambda e: (
+            running.get(e.id, 0) / max(1, e.slots),
+            e.zone != zone,
+            e.id,
+        ),
+        default=None,
+    )
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -0,0 +1,104 @@
+"""Prompts, endpoints and the work that prompts cause at endpoints."""
+
+from typing import NamedTuple
+
+
+class Endpoint(NamedTuple):
+    """An endpoint as the directory lists it.
+
+    Attributes:
+        id: Names one lifetime of the endpoint.
+        address: `IP:PORT`.
+        service: Name of its service.
+        zone: Availability zone.
+        slots: Requests that it serves at the same time.
+        leaving: Whether it receives no new requests.
+    """
+
+    id: str
+    address: str
+    service: str
+    zone: str
+    slots: int
+    leaving: bool = False
+
+
+class Prompt(NamedTuple):
+    """What placement knows of a request to a model engine.
+
+    Attributes:
+        attempt: Id of the attempt, unique over all instances.
+        tokens: Prompt length, in tokens.
+        output_tokens: Expected length of the answer, in tokens.
+        target_ms: Time to the first event that is left, in ms.
+        left_ms: Time until the caller gives up, in ms.
+        pause_ms: Longest pause between events, in ms.
+        zone: Availability zone of the instance that sends it.
+    """
+
+    attempt: str
+    tokens: int
+    output_tokens: int
+    target_ms: float
+    left_ms: float
+    pause_ms: float
+    zone: str = ""
+
+    @property
+    def weight(self) -> float:
+        """Importance of the prompt relative to one of no length."""
+        return 1.0 + self.tokens / WEIGHT_TOKENS
+
+
+# Prompt length that doubles the importance, close to the mean prompt that both
+# users publish (13,000 tokens): long work counts by size, but not short work
+# by its number alone.
+WEIGHT_TOKENS = 14000.0
+
+
+class Work(NamedTuple):
+    """A prompt's part at one endpoint.
+
+    Attributes:
+        attempt: Id of the attempt.
+        endpoint: Id of the endpoint.
+        main: Whether the answer is written here; others only help to read.
+        writing: Whether the first event was seen.
+        read_ms: Predicted time to read the part, in ms.
+        ready_ms: Instant at which reading is predicted to end.
+        due_ms: Instant at which the first event is late.
+        pause_ms: Longest pause between events, in ms.
+        context_tokens: Tokens that each step attends to here.
+        memory_tokens: KV cache held here.
+        weight: Importance of the prompt.
+    """
+
+    attempt: str
+    endpoint: str
+    main: bool
+    writing: bool
+    read_ms: float
+    ready_ms: float
+    due_ms: float
+    pause_ms: float
+    context_tokens: int
+    memory_tokens: int
+    weight: float
+
+
+class Placement(NamedTuple):
+    """Where a prompt goes.
+
+    Attributes:
+        endpoint: Writes the answer.
+        helpers: Endpoints that read parts of the prompt.
+        works: What the prompt adds to each endpoint.
+        first_event_ms: Predicted time to the first event, in ms.
+        cost: Predicted loss in units of requests, for the log.
+    """
+
+    endpoint: Endpoint
+    helpers: tuple[Endpoint, ...]
+    works: tuple[Work, ...]
+    first_event_ms: float
+    cost: float
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/routing/__init__.py
@@ -0,0 +1,23 @@
+"""Routes, services and teams: what a request may be sent to, and by whom."""
+
+from hollycart_core.routing._config import RoutingConfig
+from hollycart_core.routing._freshness import Freshness
+from hollycart_core.routing._types import EngineParameters
+from hollycart_core.routing._types import Limits
+from hollycart_core.routing._types import Route
+from hollycart_core.routing._types import RouteKind
+from hollycart_core.routing._types import RouteTarget
+from hollycart_core.routing._types import Service
+from hollycart_core.routing._types import Team
+
+__all__ = [
+    "EngineParameters",
+    "Freshness",
+    "Limits",
+    "Route",
+    "RouteKind",
+    "RouteTarget",
+    "RoutingConfig",
+    "Service",
+    "Team",
+]
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -0,0 +1,188 @@
+"""One instance of the gateway: its parts, their start and their end."""
+
+import random
+from typing import Any
+
+from absl import logging
+import eventlet
+
+from hollycart.gateway import _codec
+from hollycart.gateway import _forwarder
+from hollycart.gateway import _peers
+from hollycart.gateway import _reader
+from hollycart.gateway import _settings
+from hollycart.gateway import _state
+from hollycart_core import base
+from hollycart_core import connections
+from hollycart_core import kv
+from hollycart_core import placement
+
+# Margin for a request on its way and for the clock, within the time in which
+# a removed key must stop to work.
+_REVOKE_MARGIN_MS = 600.0
+# Endpoints whose records lapsed in an outage return within this time.
+_RETURN_MS = 2000.0
+# The balancer takes an instance out after two questions, one a second.
+_UNREADY_MS = 2600.0
+_END_MARGIN_MS = 500.0  # left of the grace time for the end itself
+_POLL_MS = 50.0
+# Lease of the record under which an instance is found.
+_LEASE_MS = 9000.0
+_RENEW_MS = 3000.0
+
+
+class Gateway:
+    """An entry instance in front of a platform's endpoints.
+
+    Args:
+        cfg: Settings.
+        store: The platform's key-value store.
+        codec: Translates messages.
+        decoder: Decodes the platform's state.
+        clock: Source of time; has to count suspensions.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        cfg: _settings.GatewaySettings,
+        store: kv.KeyValueStore,
+        codec: _codec.RequestCodec,
+        decoder: _state.StateDecoder,
+        clock: base.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.cfg = cfg
+        self.store = store
+        self.codec = codec
+        self.decoder = decoder
+        self.clock = clock
+        self.rng = rng
+        self.draining = False
+        self._threads: list[Any] = []
+        self._build()
+
+    def _build(self) -> None:
+        cfg, clock = self.cfg, self.clock
+        self.knowledge = _state.Knowledge(
+            cfg.revoke_ms - _REVOKE_MARGIN_MS, _RETURN_MS
+        )
+        self.reader = _reader.StateReader(
+            cfg.name,
+            self.store,
+            self.decoder,
+            self.knowledge,
+            clock,
+            self.rng,
+            cfg.peer_port,
+        )
+        view = placement.LoadView()
+        self.peers = _peers.PeerExchange(
+            cfg.name,
+            cfg.ip,
+            cfg.peer_port,
+            view,
+            clock,
+            self.rng,
+            self.reader.reads_store,
+            self.reader.answer,
+            self.reader.take_vouch,
+            self.reader.take_changed,
+        )
+        health = placement.EndpointHealth()
+        self.forwarder = _forwarder.Forwarder(
+            self.codec,
+            self.knowledge,
+            self.peers,
+            placement.Placer(view, health),
+            health,
+            placement.SharedRetryBudget(
+                cfg.retry_ratio, cfg.retry_window_ms, cfg.retry_slack
+            ),
+            clock,
+            cfg.zone,
+            cfg.stall_ms,
+        )
+        self.front = connections.FrontServer(
+            cfg.front_address, self.forwarder.handle, clock
+        )
+        self._ready_server = connections.FrontServer(
+            cfg.ready_address, self._answer_ready, clock
+        )
+        self._peer_server = connections.FrontServer(
+            f"{cfg.ip}:{cfg.peer_port}", self._answer_peer, clock
+        )
+
+    def start(self) -> None:
+        """Starts all parts.
+
+        Raises:
+            OSError: If an address cannot be bound.
+        """
+        self.peers.set_addresses(set(self.cfg.seed_ips))
+        self.peers.start()
+        self.reader.start(self.peers)
+        self._peer_server.start()
+        self._ready_server.start()
+        self.front.start()
+        self._threads = [eventlet.spawn(self._keep_record)]
+        logging.info("started: name=%s", self.cfg.name)
+
+    def drain(self) -> None:
+        """Serves what still comes, until nothing runs or the time is up."""
+        began_ms = self.clock.now_ms()
+        self.draining = True
+        self.front.drain()
+        end_ms = began_ms + self.cfg.grace_ms - _END_MARGIN_MS
+        while self.clock.now_ms() < end_ms:
+            idle = self.front.running == 0
+            if idle and self.clock.now_ms() - began_ms > _UNREADY_MS:
+                break
+            self.clock.sleep_ms(_POLL_MS)
+        logging.info("drained: running=%d", self.front.running)
+
+    def close(self) -> None:
+        """Stops all parts."""
+        self.front.close()
+        self._ready_server.close()
+        self._peer_server.close()
+        for thread in self._threads:
+            thread.kill()
+        self.reader.close()
+        self.peers.close()
+        self.forwarder.pool.close()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return (
+            not self.draining
+            and self.knowledge.complete
+            and self.knowledge.freshness.holds(self.clock.now_ms())
+        )
+
+    def _answer_ready(self, exchange: connections.Exchange) -> None:
+        exchange.respond(200 if self.ready else 503, (), b"")
+
+    def _answer_peer(self, exchange: connections.Exchange) -> None:
+        state = self.reader.encode_state()
+        if state is None:
+            exchange.respond(503, (), b"")
+        else:
+            exchange.respond(200, (), state)
+
+    def _keep_record(self) -> None:
+        """Keeps the record under which other instances find this one."""
+        lease_id = 0
+        while True:
+            try:
+                if not lease_id or not self.store.keep_alive(lease_id):
+                    lease_id = 0
+                    lease_id = self.store.grant_lease(
+                        max(_LEASE_MS, self.cfg.lease_min_ms)
+                    )
+                    put = self.decoder.encode_peer(self.cfg.name, self.cfg.ip)
+                    self.store.txn((), (put._replace(lease_id=lease_id),))
+            except base.HollycartError as exc:
+                logging.info("record not renewed: %s", exc.detail)
+            self.clock.sleep_ms(_RENEW_MS * (0.8 + 0.4 * self.rng.random()))
