--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -3,6 +3,7 @@
 import socket as socket_errors
 from typing import Any
 
+from eventlet import hubs
 from eventlet.green import socket
 import h11
 
@@ -239,8 +240,7 @@
         if timeout_ms <= 0:
             raise base.SilentEndpointError(f"no answer from {self.address}")
         try:
-            self._sock.settimeout(timeout_ms / 1000.0)
-            data = self._sock.recv(_READ_BYTES)
+            data = self._receive_bytes(timeout_ms)
         except socket_errors.timeout as exc:
             raise base.SilentEndpointError(
                 f"no answer from {self.address}"
@@ -252,6 +252,25 @@
             ) from exc
         self._http.receive_data(data)
 
+    def _receive_bytes(self, timeout_ms: float) -> bytes:
+        """Returns received bytes, none at a regular end.
+
+        eventlet's own `recv` reports a reset as a regular end, which would
+        make a cut answer without a length look complete.
+        """
+        end_ms = self.clock.now_ms() + timeout_ms
+        while True:
+            try:
+                return bytes(self._sock.fd.recv(_READ_BYTES))
+            except BlockingIOError:
+                left_ms = max(1.0, end_ms - self.clock.now_ms())
+                hubs.trampoline(
+                    self._sock.fd,
+                    read=True,
+                    timeout=left_ms / 1000.0,
+                    timeout_exc=socket_errors.timeout,
+                )
+
     def _note_keep_alive(self, headers: _messages.Headers) -> None:
         idle_ms = _KEEP_ALIVE_DEFAULT_MS
         for part in _messages.find_header(headers, b"keep-alive").split(","):
--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -103,7 +103,7 @@
         self._http = self._new_http()
         self._ahead = b""
         self._ended = False
-        self._head_sent = False
+        self._watcher: Any = None
 
     def run(self) -> None:
         """Serves requests until the connection ends."""
@@ -119,6 +119,7 @@
 
     def close(self) -> None:
         """Closes the socket after what was sent."""
+        self._stop_watching()
         sock, self._sock = self._sock, None
         if sock is not None:
             sock.close()
@@ -174,11 +175,11 @@
         self.busy = True
         self.server.running += 1
         current = eventlet.getcurrent()
-        watcher = eventlet.spawn(self._watch, current)
+        self._watcher = eventlet.spawn(self._watch, current)
         try:
             self.server.handler(request)
         finally:
-            watcher.kill()
+            self._stop_watching()
             self.server.running -= 1
             self.busy = False
         if self._sock is None or self._ended:
@@ -191,6 +192,12 @@
         self._http.start_next_cycle()
         return not (self.server.closing and not self._ahead)
 
+    def _stop_watching(self) -> None:
+        # Before the socket is closed: its number may be used again at once.
+        watcher, self._watcher = self._watcher, None
+        if watcher is not None and watcher is not eventlet.getcurrent():
+            watcher.kill()
+
     def _watch(self, handler: Any) -> None:
         """Reads ahead and ends the handler when the caller leaves."""
         sock = self._sock
