Reservations for prompts over one memory; tests of gateway, placement, routing

Cause: a prompt larger than one engine's memory was refused; closing a front server left threads on closed sockets. Change: memory is reserved at several endpoints, all or none, renewed while in use and released on every path; a server ends its threads before its sockets.

--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -104,9 +104,11 @@
         self._ahead = b""
         self._ended = False
         self._watcher: Any = None
+        self._thread: Any = None
 
     def run(self) -> None:
         """Serves requests until the connection ends."""
+        self._thread = eventlet.getcurrent()
         try:
             while self._serve_one():
                 pass
@@ -115,8 +117,15 @@
         except OSError as exc:
             logging.debug("caller's connection: %s", exc)
         finally:
+            self._thread = None
             self.close()
 
+    def end(self) -> None:
+        """Ends the serving thread and closes the socket."""
+        if self._thread is not None:
+            greenthread.kill(self._thread)
+        self.close()
+
     def close(self) -> None:
         """Closes the socket after what was sent."""
         self._stop_watching()
@@ -357,7 +366,7 @@
             self._listener.close()
             self._acceptor = None
         for conn in sorted(self._connections, key=lambda c: c.busy):
-            conn.close()
+            conn.end()
 
     def _accept(self) -> None:
         while True:
--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -9,6 +9,7 @@
 from hollycart_core.placement._types import Endpoint
 from hollycart_core.placement._types import Placement
 from hollycart_core.placement._types import Prompt
+from hollycart_core.placement._types import Reservation
 from hollycart_core.placement._types import Work
 
 __all__ = [
@@ -19,6 +20,7 @@
     "Placement",
     "Placer",
     "Prompt",
+    "Reservation",
     "SharedRetryBudget",
     "Work",
     "least_busy",
--- a/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
@@ -46,13 +46,22 @@
             at[attempt] = work
 
     def start_writing(self, attempt: str) -> None:
-        """Notes the first event: reading has ended everywhere."""
+        """Notes the first event: reading has ended everywhere.
+
+        Endpoints that only helped to read are free again; those that hold a
+        part of the memory take part in writing.
+        """
         found = self._by_attempt.get(attempt)
         if found is None:
             return
         instance, parts = found
         self.add(
-            instance, [w._replace(writing=True) for w in parts if w.main]
+            instance,
+            [
+                w._replace(writing=True)
+                for w in parts
+                if w.main or w.memory_tokens
+            ],
         )
 
     def remove(self, attempt: str) -> None:
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -91,9 +91,9 @@
         """
         states = [self._state(e, model, now_ms) for e in endpoints]
         mains = [s for s in states if self._fits(s, prompt, model)]
-        if not mains:
-            return None
         helpers = [s for s in states if s.helping < s.endpoint.slots]
+        if not mains:
+            return self._with_reservations(prompt, model, helpers, now_ms)
         best: _types.Placement | None = None
         for count in _SHARE_COUNTS:
             if count > 1 and count > len(helpers):
@@ -170,6 +170,88 @@
             cost,
         )
 
+    def _with_reservations(
+        self,
+        prompt: _types.Prompt,
+        model: _engine_model.EngineModel,
+        states: list[_State],
+        now_ms: float,
+    ) -> _types.Placement | None:
+        """Spreads the memory of a prompt that no single endpoint can take."""
+        best: _types.Placement | None = None
+        for count in _SHARE_COUNTS[1:]:
+            if count > len(states):
+                break
+            found = self._spread(prompt, model, states, count, now_ms)
+            if found is not None and (best is None or found.cost < best.cost):
+                best = found
+        return best
+
+    def _spread(
+        self,
+        prompt: _types.Prompt,
+        model: _engine_model.EngineModel,
+        states: list[_State],
+        count: int,
+        now_ms: float,
+    ) -> _types.Placement | None:
+        part_ms = model.read_ms(prompt.tokens, count)
+        total = int(model.parameters.memory_tokens * _MEMORY_SHARE)
+
+        def loss(state: _State) -> float:
+            return self._harm(state, part_ms, prompt, now_ms) + (
+                prompt.weight * state.memory_tokens / total
+            )
+
+        chosen = sorted(states, key=loss)[:count]
+        needed = prompt.tokens + prompt.output_tokens
+        # Even parts first, what does not fit goes where memory is left.
+        free = [max(0, total - s.memory_tokens) for s in chosen]
+        if sum(free) < needed:
+            return None
+        tokens = [min(f, -(-needed // count)) for f in free]
+        for i, room in enumerate(free):
+            tokens[i] += min(room - tokens[i], needed - sum(tokens))
+        with_slot = [
+            i
+            for i, s in enumerate(chosen)
+            if s.slots_free > 0 and tokens[i] > 0
+        ]
+        if not with_slot:
+            return None
+        main = with_slot[0]
+        order = [main, *(i for i in range(count) if i != main)]
+        finish_ms = max(self._finish_ms(s, part_ms) for s in chosen)
+        works = tuple(
+            self._work(
+                prompt,
+                chosen[i],
+                i == main,
+                part_ms,
+                self._finish_ms(chosen[i], part_ms),
+                now_ms,
+            )._replace(
+                memory_tokens=tokens[i],
+                context_tokens=prompt.tokens // count,
+            )
+            for i in order
+        )
+        cost = self._delay_loss(prompt, finish_ms) + sum(
+            loss(s) for s in chosen
+        )
+        return _types.Placement(
+            chosen[main].endpoint,
+            tuple(chosen[i].endpoint for i in order[1:]),
+            works,
+            finish_ms,
+            cost,
+            tuple(
+                _types.Reservation(chosen[i].endpoint, tokens[i])
+                for i in order
+                if tokens[i] > 0
+            ),
+        )
+
     def _main_candidates(
         self,
         prompt: _types.Prompt,
@@ -202,9 +284,9 @@
         for work in self.view.at(endpoint.id):
             if work.main:
                 slots += 1
-                memory += work.memory_tokens
             else:
                 helping += 1
+            memory += work.memory_tokens
             if work.writing:
                 writers.append(work)
                 context += work.context_tokens
--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -86,6 +86,13 @@
     weight: float
 
 
+class Reservation(NamedTuple):
+    """Memory that is set aside at an endpoint for a prompt, in tokens."""
+
+    endpoint: Endpoint
+    tokens: int
+
+
 class Placement(NamedTuple):
     """Where a prompt goes.
 
@@ -95,6 +102,8 @@
         works: What the prompt adds to each endpoint.
         first_event_ms: Predicted time to the first event, in ms.
         cost: Predicted loss in units of requests, for the log.
+        reservations: Memory to set aside before the send, the writing
+            endpoint first; none where the prompt fits into one endpoint.
     """
 
     endpoint: Endpoint
@@ -102,3 +111,4 @@
     works: tuple[Work, ...]
     first_event_ms: float
     cost: float
+    reservations: tuple[Reservation, ...] = ()
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
@@ -0,0 +1,125 @@
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from hollycart_core import placement
+
+
+@pytest.fixture
+def write(placer, view, model, endpoints):
+    """Places prompts that are writing already; returns their endpoints."""
+
+    def run(prompts):
+        used = []
+        for prompt in prompts:
+            chosen = placer.choose(prompt, model, endpoints, 0.0)
+            view.add("i", chosen.works)
+            view.start_writing(prompt.attempt)
+            used.append(chosen.endpoint.id)
+        return used
+
+    return run
+
+
+def test_short_answers_are_packed(write, short_prompt):
+    used = write([short_prompt(f"s{i}") for i in range(16)])
+    assert len(set(used)) == 2
+
+
+def test_short_prompts_that_come_at_once_are_spread(
+    placer, view, model, endpoints, short_prompt
+):
+    used = set()
+    for i in range(12):
+        chosen = placer.choose(short_prompt(f"s{i}"), model, endpoints, 0.0)
+        view.add("i", chosen.works)
+        used.update(w.endpoint for w in chosen.works)
+        assert chosen.first_event_ms < 300
+    assert len(used) >= 3
+
+
+def test_long_prompt_is_split_and_spares_short_answers(
+    placer, model, endpoints, write, short_prompt, long_prompt
+):
+    writing = set(write([short_prompt(f"s{i}") for i in range(16)]))
+    chosen = placer.choose(long_prompt("l"), model, endpoints, 0.0)
+    assert chosen.helpers
+    assert chosen.first_event_ms < 1500
+    assert not writing & {w.endpoint for w in chosen.works}
+
+
+def test_long_prompts_come_in_time_one_after_the_other(
+    placer, view, model, endpoints, long_prompt
+):
+    for i in range(3):
+        chosen = placer.choose(long_prompt(f"l{i}"), model, endpoints, 0.0)
+        view.add("i", chosen.works)
+        assert chosen.first_event_ms < 3000
+
+
+def test_prompt_over_one_endpoints_memory_is_reserved_on_several(
+    placer, model, endpoints, long_prompt
+):
+    chosen = placer.choose(long_prompt("l", 900000), model, endpoints, 0.0)
+    assert chosen.reservations[0].endpoint == chosen.endpoint
+    assert sum(r.tokens for r in chosen.reservations) >= 900800
+    assert all(r.tokens <= 450000 for r in chosen.reservations)
+
+
+def test_prompt_over_all_memory_has_no_place(
+    placer, model, endpoints, long_prompt
+):
+    assert (
+        placer.choose(long_prompt("l", 900000), model, endpoints[:2], 0.0)
+        is None
+    )
+
+
+def test_full_endpoint_is_avoided(placer, model, endpoints, write, short_prompt):
+    used = write([short_prompt(f"s{i}") for i in range(9)])
+    assert max(used.count(e) for e in set(used)) == 8
+
+
+def test_slow_endpoint_is_drained_of_load(
+    placer, health, model, endpoints, short_prompt
+):
+    first = placer.choose(short_prompt("a"), model, endpoints, 0.0).endpoint
+    for _ in range(20):
+        health.note_pace(first.id, 8.0)
+    second = placer.choose(short_prompt("b"), model, endpoints, 0.0).endpoint
+    assert second != first
+
+
+@hypothesis.given(
+    strategies.lists(strategies.integers(1000, 1000000), max_size=25)
+)
+def test_every_placement_is_consistent(sizes):
+    from hollycart_core import routing
+
+    model = placement.EngineModel(
+        routing.EngineParameters(
+            8, 450000, 46, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048
+        )
+    )
+    endpoints = [
+        placement.Endpoint(f"e{i}", f"10.0.0.{i}:1", "llm", "z", 8)
+        for i in range(6)
+    ]
+    view = placement.LoadView()
+    placer = placement.Placer(view, placement.EndpointHealth())
+    for i, tokens in enumerate(sizes):
+        prompt = placement.Prompt(f"p{i}", tokens, 800, 3000, 15000, 800)
+        chosen = placer.choose(prompt, model, endpoints, 0.0)
+        if chosen is None:
+            continue
+        used = [w.endpoint for w in chosen.works]
+        assert len(used) == len(set(used))
+        assert sum(w.main for w in chosen.works) == 1
+        assert len(chosen.helpers) <= 16
+        assert chosen.first_event_ms > 0
+        held = sum(w.memory_tokens for w in chosen.works)
+        assert held >= tokens
+        view.add("i", chosen.works)
+    for endpoint in endpoints:
+        held = sum(w.memory_tokens for w in view.at(endpoint.id))
+        assert held <= 450000
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/routing/tests/test_routing.py
@@ -0,0 +1,64 @@
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from hollycart_core import routing
+
+
+def route(name, prefix, targets=(("s", 1.0),)):
+    return routing.Route(
+        name,
+        "h.example",
+        prefix,
+        routing.RouteKind.IDEMPOTENT,
+        tuple(routing.RouteTarget(*t) for t in targets),
+        1000,
+        300,
+    )
+
+
+@pytest.fixture
+def cfg():
+    return routing.RoutingConfig(
+        3,
+        [route("outer", "/a/"), route("inner", "/a/b/")],
+        [],
+        [routing.Team("t", ("k1", "k2"))],
+    )
+
+
+def test_longest_prefix_wins(cfg):
+    assert cfg.find_route("h.example", "/a/b/c").name == "inner"
+    assert cfg.find_route("h.example", "/a/bc").name == "outer"
+
+
+def test_prefix_needs_its_last_slash(cfg):
+    assert cfg.find_route("h.example", "/a") is None
+
+
+def test_host_is_compared_without_port_and_case(cfg):
+    assert cfg.find_route("H.Example:8080", "/a/").name == "outer"
+
+
+def test_every_key_of_a_team_is_known(cfg):
+    assert cfg.find_team("k2").name == "t"
+    assert cfg.find_team("") is None
+
+
+@hypothesis.given(strategies.floats(0, 1, exclude_max=True))
+def test_weights_divide_the_requests(fraction):
+    split = route("r", "/", (("a", 90.0), ("b", 10.0)))
+    cfg = routing.RoutingConfig(1, [split], [])
+    expected = "a" if fraction < 0.9 else "b"
+    if abs(fraction - 0.9) > 1e-9:
+        assert cfg.choose_service(split, fraction) == expected
+
+
+def test_proof_counts_from_the_begin_of_the_youngest_read():
+    freshness = routing.Freshness(4000.0)
+    assert not freshness.holds(0.0)
+    freshness.note(1000.0)
+    freshness.note(500.0)
+    assert freshness.age_ms(1500.0) == 500.0
+    assert freshness.holds(5000.0)
+    assert not freshness.holds(5000.1)
--- a/packages/hollycart/src/hollycart/gateway/_codec.py
+++ b/packages/hollycart/src/hollycart/gateway/_codec.py
@@ -83,6 +83,16 @@
     ) -> connections.RequestHead:
         """Returns the head that an endpoint receives."""
 
+    def encode_reservation(
+        self, ticket: str, tokens: int, hold_ms: float
+    ) -> tuple[connections.RequestHead, bytes]:
+        """Returns the order that sets memory aside at an endpoint."""
+
+    def encode_release(
+        self, ticket: str
+    ) -> tuple[connections.RequestHead, bytes]:
+        """Returns the order that frees memory set aside."""
+
     def decode_answer(self, head: connections.ResponseHead) -> AnswerMeta:
         """Returns what an endpoint's answer says."""
 
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -9,6 +9,7 @@
 from hollycart.gateway import _codec
 from hollycart.gateway import _events
 from hollycart.gateway import _peers
+from hollycart.gateway import _reserver
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import connections
@@ -33,6 +34,8 @@
 _HEDGE_SHARE = 0.55
 _RETRY_AFTER_MS = 250.0  # a rejected request may come back after this time
 _WAIT_DEFAULT_MS = 30000.0  # for callers that name no time
+# Wait before memory is asked for again; passes end more often than that.
+_MEMORY_WAIT_MS = 100.0
 _FOREIGN_ANSWERS = 3  # answers to other requests that are skipped
 
 
@@ -79,6 +82,19 @@
     return exc
 
 
+def _helper_addresses(chosen: placement.Placement) -> tuple[str, ...]:
+    """Returns helpers with their tickets, the writing endpoint first."""
+    ticket = chosen.works[0].attempt if chosen.works else ""
+    reserved = {r.endpoint.id for r in chosen.reservations}
+    listed = [
+        f"{h.address}/{ticket}" if h.id in reserved else h.address
+        for h in chosen.helpers
+    ]
+    if chosen.endpoint.id in reserved:
+        listed.insert(0, f"{chosen.endpoint.address}/{ticket}")
+    return tuple(listed)
+
+
 class Forwarder:
     """Answers the exchanges of the front server.
 
@@ -115,6 +131,7 @@
         self.zone = zone
         self.stall_ms = stall_ms
         self.pool = connections.ConnectionPool(clock)
+        self.reserver = _reserver.Reserver(codec, clock)
         self._ids = itertools.count()
         self._running: dict[str, int] = {}
         self._models: dict[
@@ -183,6 +200,10 @@
                 return
             except connections.CallerGoneError:
                 raise
+            except _reserver.MemoryUnavailableError as exc:
+                if not self._may_wait(job):
+                    raise _final(exc, progress) from exc
+                self.clock.sleep_ms(_MEMORY_WAIT_MS)
             except (
                 base.NotExecutedError,
                 base.EndpointUnreachableError,
@@ -201,6 +222,16 @@
                 ):
                     raise
 
+    def _may_wait(self, job: _Job) -> bool:
+        """Returns whether a prompt may still wait for memory.
+
+        Longer than its target it is not kept: the caller does better to come
+        back than to wait for what others hold.
+        """
+        waited_ms = self.clock.now_ms() - job.exchange.received_ms
+        left_ms = job.deadline_ms - self.clock.now_ms()
+        return waited_ms < job.route.target_ms and left_ms > _MEMORY_WAIT_MS
+
     def _may_repeat(
         self, job: _Job, progress: _Progress, exc: base.HollycartError
     ) -> bool:
@@ -237,6 +268,8 @@
         self._running[endpoint.id] = self._running.get(endpoint.id, 0) + 1
         conn: connections.ClientConnection | None = None
         try:
+            if chosen.reservations:
+                self.reserver.reserve(attempt, chosen.reservations)
             conn = self._connect(endpoint, job)
             self._check_admitted(job, endpoint)
             head = self._encode(job, chosen, progress)
@@ -258,6 +291,8 @@
             self.health.note_failure(endpoint.id, self.clock.now_ms())
             progress.excluded.add(endpoint.id)
             raise
+        except _reserver.MemoryUnavailableError:
+            raise
         except base.NotExecutedError:
             progress.excluded.add(endpoint.id)
             raise
@@ -267,6 +302,8 @@
             self._running[endpoint.id] -= 1
             if not self._running[endpoint.id]:
                 del self._running[endpoint.id]
+            if chosen.reservations:
+                self.reserver.release(attempt, chosen.reservations)
             if chosen.works:
                 self.peers.remove(attempt)
 
@@ -327,7 +364,9 @@
         )
         chosen = self.placer.choose(prompt, model, candidates, now_ms)
         if chosen is None:
-            raise base.OverloadedError("no memory free", _RETRY_AFTER_MS)
+            raise _reserver.MemoryUnavailableError(
+                "no memory free", _RETRY_AFTER_MS
+            )
         logging.info(
             "placed: request=%s tokens=%d at=%s helpers=%d first=%.0f"
             " cost=%.2f",
@@ -362,7 +401,7 @@
                 job.deadline_ms - self.clock.now_ms(),
                 job.team.name if job.team else "",
                 None,
-                tuple(h.address for h in chosen.helpers),
+                _helper_addresses(chosen),
                 progress.events.last_id,
             ),
         )
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/_reserver.py
@@ -0,0 +1,114 @@
+"""Sets memory aside at several endpoints, all of it or none."""
+
+from typing import Any
+
+from absl import logging
+import eventlet
+
+from hollycart.gateway import _codec
+from hollycart_core import base
+from hollycart_core import connections
+from hollycart_core import placement
+
+# A reservation that is not renewed lapses within this time, so that a crash of
+# this instance leaves nothing behind for longer than the pages allow (4 s).
+_HOLD_MS = 3500.0
+_RENEW_MS = 1100.0
+_ORDER_TIMEOUT_MS = 300.0
+_RELEASE_TRIES = 3
+_OK = 200
+_MAX_REPLY_BYTES = 65536
+
+
+class MemoryUnavailableError(base.NotExecutedError):
+    """Memory that was predicted to be free is not; nothing is set aside."""
+
+    code = "memory_unavailable"
+
+
+class Reserver:
+    """Reserves, renews and releases.
+
+    Args:
+        codec: Translates the orders.
+        clock: Source of time.
+    """
+
+    def __init__(self, codec: _codec.RequestCodec, clock: base.Clock) -> None:
+        self.codec = codec
+        self.clock = clock
+        self._renewals: dict[str, Any] = {}
+
+    def reserve(
+        self, ticket: str, wanted: tuple[placement.Reservation, ...]
+    ) -> None:
+        """Reserves at all endpoints, in the order of their ids.
+
+        Raises:
+            MemoryUnavailableError: If one of them refuses; the others are
+                released.
+        """
+        done: list[placement.Reservation] = []
+        try:
+            for item in sorted(wanted, key=lambda r: r.endpoint.id):
+                done.append(item)
+                if not self._order(ticket, item):
+                    raise MemoryUnavailableError(
+                        f"no memory at {item.endpoint.id}", _RENEW_MS
+                    )
+        except BaseException:
+            eventlet.spawn_n(self._release_all, ticket, tuple(done))
+            raise
+        self._renewals[ticket] = eventlet.spawn(self._renew, ticket, wanted)
+
+    def release(
+        self, ticket: str, wanted: tuple[placement.Reservation, ...]
+    ) -> None:
+        """Releases without waiting for the answers."""
+        renewal = self._renewals.pop(ticket, None)
+        if renewal is None:
+            return
+        renewal.kill()
+        eventlet.spawn_n(self._release_all, ticket, wanted)
+
+    def _renew(
+        self, ticket: str, wanted: tuple[placement.Reservation, ...]
+    ) -> None:
+        while True:
+            self.clock.sleep_ms(_RENEW_MS)
+            for item in wanted:
+                self._order(ticket, item)
+
+    def _release_all(
+        self, ticket: str, wanted: tuple[placement.Reservation, ...]
+    ) -> None:
+        head, body = self.codec.encode_release(ticket)
+        for item in wanted:
+            for _ in range(_RELEASE_TRIES):
+                if self._call(item.endpoint, head, body) is not None:
+                    break
+
+    def _order(self, ticket: str, item: placement.Reservation) -> bool:
+        head, body = self.codec.encode_reservation(
+            ticket, item.tokens, _HOLD_MS
+        )
+        return self._call(item.endpoint, head, body) == _OK
+
+    def _call(
+        self,
+        endpoint: placement.Endpoint,
+        head: connections.RequestHead,
+        body: bytes,
+    ) -> int | None:
+        conn = connections.ClientConnection(endpoint.address, self.clock)
+        try:
+            conn.start(_ORDER_TIMEOUT_MS)
+            conn.send(head, body, _ORDER_TIMEOUT_MS)
+            answer = conn.read_head(_ORDER_TIMEOUT_MS)
+            conn.read_body(_ORDER_TIMEOUT_MS, _MAX_REPLY_BYTES)
+        except base.HollycartError as exc:
+            logging.info("order to %s: %s", endpoint.id, exc.detail)
+            return None
+        finally:
+            conn.close()
+        return answer.status
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -0,0 +1,315 @@
+import json
+import random
+import socket
+
+import eventlet
+import pytest
+
+from hollycart import gateway
+from hollycart.gateway import _forwarder
+from hollycart.gateway import _peers
+from hollycart.gateway import _state
+from hollycart_core import base
+from hollycart_core import connections
+from hollycart_core import kv
+from hollycart_core import placement
+from hollycart_core import routing
+
+
+class PlainCodec:
+    """A codec with words of its own, so that none of a platform is needed."""
+
+    def decode_request(self, head):
+        fields = {k.lower(): v.decode() for k, v in head.headers}
+        return gateway.RequestMeta(
+            fields.get(b"id", ""),
+            "h",
+            head.target.decode(),
+            float(fields.get(b"wait", 5000)),
+            fields.get(b"key", ""),
+            int(fields.get(b"tokens", 0)),
+            100,
+            fields.get(b"after", ""),
+        )
+
+    def encode_attempt(self, head, attempt):
+        fields = connections.end_to_end_headers(head.headers)
+        own = (
+            (b"Endpoint", attempt.endpoint_id.encode()),
+            (b"Left", str(int(attempt.left_ms)).encode()),
+            (b"Team", attempt.team.encode()),
+            (b"Helpers", ",".join(attempt.helpers).encode()),
+            (b"Resume", attempt.last_event_id.encode()),
+        )
+        return head._replace(headers=fields + own)
+
+    def encode_reservation(self, ticket, tokens, hold_ms):
+        body = json.dumps({"ticket": ticket, "tokens": tokens}).encode()
+        return connections.RequestHead(
+            b"POST", b"/reserve", ((b"Host", b"e"),)
+        ), body
+
+    def encode_release(self, ticket):
+        body = json.dumps({"ticket": ticket}).encode()
+        return connections.RequestHead(
+            b"POST", b"/release", ((b"Host", b"e"),)
+        ), body
+
+    def decode_answer(self, head):
+        find = connections.find_header
+        return gateway.AnswerMeta(
+            find(head.headers, b"id"),
+            bool(find(head.headers, b"seal")),
+            bool(find(head.headers, b"not-run")),
+            None,
+            None,
+        )
+
+    def encode_failure(self, request_id, retry_after_ms):
+        if retry_after_ms is None:
+            return ()
+        return ((b"Retry-After", str(retry_after_ms / 1000).encode()),)
+
+
+class Endpoint:
+    """An endpoint whose answers a test scripts."""
+
+    def __init__(self, name):
+        self.name = name
+        self.answer = None
+        self.seen = []
+        self.left = []
+        self.server = connections.FrontServer(
+            f"127.0.0.1:{_free_port()}", self._handle, base.SystemClock()
+        )
+
+    def _handle(self, exchange):
+        fields = {k.lower(): v.decode() for k, v in exchange.head.headers}
+        self.seen.append((exchange.head.target.decode(), fields, exchange.body))
+        try:
+            self.answer(exchange, fields)
+        except connections.CallerGoneError:
+            self.left.append(fields.get(b"id"))
+            raise
+
+
+def _free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def seal(fields):
+    return ((b"Id", fields[b"id"].encode()), (b"Seal", b"1"))
+
+
+@pytest.fixture
+def answers():
+    """Answers that endpoints give."""
+
+    class Answers:
+        @staticmethod
+        def whole(exchange, fields):
+            exchange.respond(200, seal(fields), b"done")
+
+        @staticmethod
+        def reject(exchange, fields):
+            exchange.respond(503, ((b"Not-Run", b"1"),), b"")
+
+        @staticmethod
+        def fail(exchange, fields):
+            exchange.respond(500, seal(fields), b"oops")
+
+        @staticmethod
+        def unsealed(exchange, fields):
+            exchange.respond(200, ((b"Id", fields[b"id"].encode()),), b"x")
+
+        @staticmethod
+        def close(exchange, fields):
+            exchange.abort()
+
+        @staticmethod
+        def hang(exchange, fields):
+            eventlet.sleep(30)
+
+        @staticmethod
+        def events(first, last, cut=b"", end=True):
+            def answer(exchange, fields):
+                exchange.start(200, seal(fields), None)
+                start = int(fields[b"resume"] or first - 1) + 1
+                for i in range(start, last + 1):
+                    exchange.write(b"id: %d\ndata: %d\n\n" % (i, i))
+                    eventlet.sleep(0)
+                if cut:
+                    exchange.write(cut)
+                if end:
+                    exchange.finish()
+                else:
+                    exchange.abort()
+
+            return answer
+
+    return Answers
+
+
+@pytest.fixture
+def endpoints():
+    made = [Endpoint(f"e{i}") for i in range(2)]
+    for endpoint in made:
+        endpoint.server.start()
+    yield made
+    for endpoint in made:
+        endpoint.server.close()
+
+
+def _route(prefix, kind, **kwargs):
+    return routing.Route(
+        prefix,
+        "h",
+        prefix,
+        kind,
+        (routing.RouteTarget("svc", 1.0),),
+        2000,
+        300,
+        max_pause_ms=200,
+        **kwargs,
+    )
+
+
+@pytest.fixture
+def config():
+    return routing.RoutingConfig(
+        1,
+        [
+            _route("/once/", routing.RouteKind.NON_IDEMPOTENT),
+            _route("/again/", routing.RouteKind.IDEMPOTENT, max_attempts=2),
+            _route(
+                "/stream/",
+                routing.RouteKind.STREAMING,
+                max_attempts=2,
+                resumable=True,
+            ),
+            _route("/fragile/", routing.RouteKind.STREAMING, max_attempts=2),
+            _route("/free/", routing.RouteKind.IDEMPOTENT, public=True),
+        ],
+        [
+            routing.Service(
+                "svc",
+                100,
+                routing.EngineParameters(
+                    8, 450000, 46, 0.9, 0.01, 0.0025, 256.0, 0.09, 2048
+                ),
+            )
+        ],
+        [routing.Team("team-a", ("key-a",))],
+    )
+
+
+class System:
+    """A forwarder behind a front server, with scripted endpoints."""
+
+    def __init__(self, config, endpoints):
+        self.clock = base.SystemClock()
+        self.knowledge = _state.Knowledge(4000.0, 2000.0)
+        view = placement.LoadView()
+        self.peers = _peers.PeerExchange(
+            "me",
+            "127.0.0.1",
+            _free_port(),
+            view,
+            self.clock,
+            random.Random(1),
+            lambda: True,
+            lambda ask: None,
+            lambda vouch, ip: None,
+            lambda changed, ip: None,
+        )
+        self.health = placement.EndpointHealth()
+        self.forwarder = _forwarder.Forwarder(
+            PlainCodec(),
+            self.knowledge,
+            self.peers,
+            placement.Placer(view, self.health),
+            self.health,
+            placement.SharedRetryBudget(0.2, 10000.0, 100),
+            self.clock,
+            "z",
+            1500.0,
+        )
+        self.front = connections.FrontServer(
+            f"127.0.0.1:{_free_port()}", self.forwarder.handle, self.clock
+        )
+        self.config = config
+        self.listed = [
+            placement.Endpoint(e.name, e.server.address, "svc", "z", 8)
+            for e in endpoints
+        ]
+        self.revision = 0
+
+    def start(self):
+        self.peers.start()
+        self.front.start()
+
+    def close(self):
+        self.front.close()
+        self.peers.close()
+        self.forwarder.pool.close()
+
+    def learn(self, config=None, listed=None, fresh=True):
+        self.revision += 1
+        snapshot = gateway.Snapshot(
+            self.revision,
+            self.revision,
+            config or self.config,
+            tuple(self.listed if listed is None else listed),
+            {},
+            self.revision,
+        )
+        raw = _state.RawState(kv.RangeResult(self.revision, ()), 0)
+        now_ms = self.clock.now_ms()
+        self.knowledge.apply(raw, snapshot, now_ms)
+        if fresh:
+            self.knowledge.freshness.note(now_ms)
+
+    def call(self, path, key="key-a", timeout_ms=3000, **fields):
+        conn = self.open(path, key, **fields)
+        head = conn.read_head(timeout_ms)
+        body = conn.read_body(timeout_ms, 1 << 20)
+        conn.close()
+        return connections.Reply(head.status, head.headers, body)
+
+    def open(self, path, key="key-a", **fields):
+        conn = connections.ClientConnection(self.front.address, self.clock)
+        conn.start(1000)
+        headers = [(b"Host", b"h"), (b"Id", b"r1"), (b"Key", key.encode())]
+        headers += [(k.encode(), str(v).encode()) for k, v in fields.items()]
+        conn.send(
+            connections.RequestHead(b"POST", path.encode(), tuple(headers)),
+            b"body",
+            1000,
+        )
+        return conn
+
+
+@pytest.fixture
+def system(config, endpoints):
+    running = System(config, endpoints)
+    running.start()
+    yield running
+    running.close()
+
+
+@pytest.fixture
+def eventually():
+    """Waits until a condition holds, up to a time no test comes near."""
+
+    def wait(condition):
+        for _ in range(500):
+            if condition():
+                return
+            eventlet.sleep(0.01)
+        raise AssertionError("condition does not hold")
+
+    return wait
+
+
