Endpoints that are gone are found by connecting and shared

Change: rejections name the endpoint at fault; a suspicion is told to all, each checks it by a connection, and attempts that depend on it are placed anew.

--- a/packages/hollycart-core/src/hollycart_core/placement/_health.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_health.py
@@ -5,24 +5,28 @@
 _FIRST_PAUSE_MS = 400.0  # above the time of a lost packet's repetition
 _MAX_PAUSE_MS = 4000.0  # the longest wait for an endpoint that is back
 _FAILURE_GAIN = 0.25  # share of the newest outcome in the failure rate
-_SUSPECT_RATE = 0.55  # two failures in a row after a good record
+_SUSPECT_RATE = 0.55  # three failures in a row after a good record
 _SLOW_GAIN = 0.2  # share of the newest observation in the slowness
 _MAX_SLOWNESS = 20.0
 
 
 class _State(NamedTuple):
-    failures: int = 0
+    unreachable: bool = False
+    pauses: int = 0
     paused_until_ms: float = 0.0
     failure_rate: float = 0.0
     slowness: float = 1.0
 
 
 class EndpointHealth:
-    """Takes endpoints out of use after failures, and back after a pause.
+    """Takes endpoints out of use and back.
+
+    An unreachable endpoint is back when a connection succeeds; one that fails
+    requests is back after a pause that grows.
 
     Example:
         >>> health = EndpointHealth()
-        >>> health.note_unreachable("e", 0.0)
+        >>> health.note_silent("e", 0.0)
         >>> health.usable("e", 100.0), health.usable("e", 500.0)
         (False, True)
     """
@@ -37,7 +41,7 @@
             return
         rate = state.failure_rate * (1.0 - _FAILURE_GAIN)
         self._states[endpoint] = state._replace(
-            failures=0, paused_until_ms=0.0, failure_rate=rate
+            unreachable=False, pauses=0, paused_until_ms=0.0, failure_rate=rate
         )
 
     def note_failure(self, endpoint: str, now_ms: float) -> None:
@@ -45,15 +49,26 @@
         state = self._states.get(endpoint, _State())
         rate = state.failure_rate + _FAILURE_GAIN * (1.0 - state.failure_rate)
         state = state._replace(failure_rate=rate)
-        if rate >= _SUSPECT_RATE or state.failures:
+        if rate >= _SUSPECT_RATE or state.pauses:
             state = self._pause(state, now_ms)
         self._states[endpoint] = state
 
-    def note_unreachable(self, endpoint: str, now_ms: float) -> None:
-        """Notes that no connection could be made or that it is silent."""
+    def note_silent(self, endpoint: str, now_ms: float) -> None:
+        """Notes that an endpoint did not answer in time."""
         state = self._states.get(endpoint, _State())
         self._states[endpoint] = self._pause(state, now_ms)
 
+    def note_unreachable(self, endpoint: str) -> None:
+        """Notes that no connection could be made."""
+        state = self._states.get(endpoint, _State())
+        self._states[endpoint] = state._replace(unreachable=True)
+
+    def note_reachable(self, endpoint: str) -> None:
+        """Notes that a connection could be made."""
+        state = self._states.get(endpoint)
+        if state is not None:
+            self._states[endpoint] = state._replace(unreachable=False)
+
     def note_pace(self, endpoint: str, ratio: float) -> None:
         """Notes how much longer a pass took than predicted.
 
@@ -74,20 +89,21 @@
     def usable(self, endpoint: str, now_ms: float) -> bool:
         """Returns whether requests may be sent to an endpoint."""
         state = self._states.get(endpoint)
-        return state is None or now_ms >= state.paused_until_ms
+        if state is None:
+            return True
+        return not state.unreachable and now_ms >= state.paused_until_ms
 
-    def suspected(self, endpoint: str) -> bool:
-        """Returns whether its last outcome was a failure."""
-        state = self._states.get(endpoint)
-        return state is not None and state.failures > 0
+    def unreachable(self) -> list[str]:
+        """Returns the endpoints that could not be connected to."""
+        return [e for e, s in self._states.items() if s.unreachable]
 
     def forget(self, endpoint: str) -> None:
         """Drops what is known of an endpoint that is gone."""
         self._states.pop(endpoint, None)
 
     def _pause(self, state: _State, now_ms: float) -> _State:
-        pause_ms = min(_MAX_PAUSE_MS, _FIRST_PAUSE_MS * 2.0**state.failures)
+        pause_ms = min(_MAX_PAUSE_MS, _FIRST_PAUSE_MS * 2.0**state.pauses)
         return state._replace(
-            failures=min(state.failures + 1, 10),
+            pauses=min(state.pauses + 1, 10),
             paused_until_ms=now_ms + pause_ms,
         )
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -1,13 +1,17 @@
 """Forwards one request: admits, places, sends, repeats, answers."""
 
 import itertools
+from typing import Any
 from typing import NamedTuple
 
 from absl import logging
+import eventlet
+from eventlet import greenthread
 import xxhash
 
 from hollycart.gateway import _codec
 from hollycart.gateway import _events
+from hollycart.gateway import _monitor
 from hollycart.gateway import _peers
 from hollycart.gateway import _reserver
 from hollycart.gateway import _state
@@ -50,6 +54,34 @@
     deadline_ms: float
 
 
+class EndpointLostError(base.EndpointFailedError):
+    """An endpoint that an attempt depends on was found to be gone."""
+
+    code = "endpoint_lost"
+
+
+class HelperRejectedError(base.NotExecutedError):
+    """A request was rejected because of an endpoint that should help.
+
+    Args:
+        detail: What happened, for a person.
+        endpoint_id: The endpoint at fault.
+    """
+
+    code = "helper_rejected"
+
+    def __init__(self, detail: str, endpoint_id: str) -> None:
+        super().__init__(detail, _RETRY_AFTER_MS)
+        self.endpoint_id = endpoint_id
+
+
+class _Waiting(NamedTuple):
+    """An attempt that has no event yet and can be repeated."""
+
+    thread: Any
+    endpoints: frozenset[str]
+
+
 class _Progress:
     """What has happened to a request so far."""
 
@@ -132,12 +164,25 @@
         self.stall_ms = stall_ms
         self.pool = connections.ConnectionPool(clock)
         self.reserver = _reserver.Reserver(codec, clock)
+        self.monitor = _monitor.EndpointMonitor(
+            knowledge, health, clock, self._on_lost, peers.tell_suspect
+        )
+        self._waiting: dict[str, _Waiting] = {}
         self._ids = itertools.count()
         self._running: dict[str, int] = {}
         self._models: dict[
             routing.EngineParameters, placement.EngineModel
         ] = {}
 
+    def start(self) -> None:
+        """Starts the checks of endpoints."""
+        self.monitor.start()
+
+    def close(self) -> None:
+        """Stops the checks and closes idle connections."""
+        self.monitor.close()
+        self.pool.close()
+
     def handle(self, exchange: connections.Exchange) -> None:
         """Answers one request."""
         request_id = ""
@@ -274,29 +319,18 @@
             self._check_admitted(job, endpoint)
             head = self._encode(job, chosen, progress)
             progress.runs += 1
+            sent_ms = self.clock.now_ms()
             conn.send(head, job.exchange.body, _SEND_TIMEOUT_MS)
-            self._relay(job, progress, chosen, conn, head)
+            self._wait_for_event(job, chosen, attempt)
+            self._relay(job, progress, chosen, conn, head, sent_ms)
             self.health.note_success(endpoint.id)
             self.pool.give_back(conn)
             conn = None
-        except base.EndpointUnreachableError:
-            self.health.note_unreachable(endpoint.id, self.clock.now_ms())
-            progress.excluded.add(endpoint.id)
-            raise
-        except base.SilentEndpointError:
-            self.health.note_unreachable(endpoint.id, self.clock.now_ms())
-            progress.excluded.add(endpoint.id)
-            raise
-        except base.EndpointFailedError:
-            self.health.note_failure(endpoint.id, self.clock.now_ms())
-            progress.excluded.add(endpoint.id)
-            raise
-        except _reserver.MemoryUnavailableError:
-            raise
-        except base.NotExecutedError:
-            progress.excluded.add(endpoint.id)
+        except base.HollycartError as exc:
+            self._note_failure(progress, chosen, exc)
             raise
         finally:
+            self._waiting.pop(attempt, None)
             if conn is not None:
                 conn.close()
             self._running[endpoint.id] -= 1
@@ -307,6 +341,57 @@
             if chosen.works:
                 self.peers.remove(attempt)
 
+    def _wait_for_event(
+        self, job: _Job, chosen: placement.Placement, attempt: str
+    ) -> None:
+        if job.route.repeatable and chosen.helpers:
+            self._waiting[attempt] = _Waiting(
+                eventlet.getcurrent(),
+                frozenset(w.endpoint for w in chosen.works),
+            )
+
+    def _on_lost(self, endpoint_id: str) -> None:
+        """Ends attempts that would only wait for a lost endpoint."""
+        for attempt, waiting in list(self._waiting.items()):
+            if endpoint_id in waiting.endpoints:
+                self._waiting.pop(attempt, None)
+                eventlet.spawn_n(
+                    greenthread.kill,
+                    waiting.thread,
+                    EndpointLostError(f"{endpoint_id} is gone"),
+                )
+
+    def _note_failure(
+        self,
+        progress: _Progress,
+        chosen: placement.Placement,
+        exc: base.HollycartError,
+    ) -> None:
+        """Notes who is to blame for an attempt that failed."""
+        endpoint_id = chosen.endpoint.id
+        now_ms = self.clock.now_ms()
+        if isinstance(exc, EndpointLostError | connections.CallerGoneError):
+            return
+        if isinstance(exc, HelperRejectedError):
+            progress.excluded.add(exc.endpoint_id)
+            self.monitor.suspect(exc.endpoint_id)
+        elif isinstance(exc, base.EndpointUnreachableError):
+            progress.excluded.add(endpoint_id)
+            self.monitor.condemn(endpoint_id)
+        elif isinstance(exc, base.SilentEndpointError):
+            progress.excluded.add(endpoint_id)
+            self.health.note_silent(endpoint_id, now_ms)
+            for work in chosen.works:
+                self.monitor.suspect(work.endpoint)
+        elif isinstance(exc, base.EndpointFailedError):
+            progress.excluded.add(endpoint_id)
+            self.health.note_failure(endpoint_id, now_ms)
+            self.monitor.suspect(endpoint_id)
+        elif isinstance(exc, base.NotExecutedError) and not isinstance(
+            exc, _reserver.MemoryUnavailableError
+        ):
+            progress.excluded.add(endpoint_id)
+
     def _connect(
         self, endpoint: placement.Endpoint, job: _Job
     ) -> connections.ClientConnection:
@@ -413,21 +498,19 @@
         chosen: placement.Placement,
         conn: connections.ClientConnection,
         sent: connections.RequestHead,
+        sent_ms: float,
     ) -> None:
         head, answer = self._read_answer(job, chosen, conn, sent)
         if answer.not_executed:
             progress.runs -= 1
             conn.read_body(_SEND_TIMEOUT_MS, _MAX_BODY_BYTES)
             self.pool.give_back(conn)
-            raise base.NotExecutedError(
-                f"{chosen.endpoint.id} answered {head.status}",
-                answer.retry_after_ms or _RETRY_AFTER_MS,
-            )
+            raise self._rejection(chosen, head, answer)
         success = 200 <= head.status < 300
         if success and not answer.sealed:
             raise base.EndpointFailedError("answer is not sealed")
         if success and job.route.kind is routing.RouteKind.STREAMING:
-            self._relay_stream(job, progress, chosen, conn, head)
+            self._relay_stream(job, progress, chosen, conn, head, sent_ms)
             return
         left_ms = job.deadline_ms - self.clock.now_ms()
         body = conn.read_body(left_ms, _MAX_BODY_BYTES)
@@ -441,6 +524,22 @@
             head.status, connections.end_to_end_headers(head.headers), body
         )
 
+    def _rejection(
+        self,
+        chosen: placement.Placement,
+        head: connections.ResponseHead,
+        answer: _codec.AnswerMeta,
+    ) -> base.NotExecutedError:
+        detail = f"{chosen.endpoint.id} answered {head.status}"
+        for helper in chosen.helpers:
+            if answer.at_fault in (helper.id, helper.address):
+                return HelperRejectedError(
+                    f"{detail} because of {helper.id}", helper.id
+                )
+        return base.NotExecutedError(
+            detail, answer.retry_after_ms or _RETRY_AFTER_MS
+        )
+
     def _worth_repeating(
         self, job: _Job, progress: _Progress, head: connections.ResponseHead
     ) -> bool:
@@ -493,11 +592,11 @@
         chosen: placement.Placement,
         conn: connections.ClientConnection,
         head: connections.ResponseHead,
+        sent_ms: float,
     ) -> None:
         events = progress.events
         events.drop_partial()
         seen = False
-        sent_ms = self.clock.now_ms()
         while True:
             wait_ms = job.deadline_ms - self.clock.now_ms()
             if job.route.repeatable:
@@ -532,6 +631,7 @@
         self, job: _Job, chosen: placement.Placement, sent_ms: float
     ) -> None:
         if chosen.works:
+            self._waiting.pop(chosen.works[0].attempt, None)
             self.peers.start_writing(chosen.works[0].attempt)
         logging.info(
             "first event: request=%s predicted=%.0f seen=%.0f total=%.0f",
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -88,6 +88,7 @@
             self.reader.answer,
             self.reader.take_vouch,
             self.reader.take_changed,
+            self._on_suspect,
         )
         health = placement.EndpointHealth()
         self.forwarder = _forwarder.Forwarder(
@@ -124,6 +125,7 @@
         self.reader.start(self.peers)
         self._peer_server.start()
         self._ready_server.start()
+        self.forwarder.start()
         self.front.start()
         self._threads = [eventlet.spawn(self._keep_record)]
         logging.info("started: name=%s", self.cfg.name)
@@ -150,7 +152,7 @@
             thread.kill()
         self.reader.close()
         self.peers.close()
-        self.forwarder.pool.close()
+        self.forwarder.close()
 
     @property
     def ready(self) -> bool:
@@ -161,6 +163,9 @@
             and self.knowledge.freshness.holds(self.clock.now_ms())
         )
 
+    def _on_suspect(self, endpoint: str) -> None:
+        self.forwarder.monitor.suspect(endpoint)
+
     def _answer_ready(self, exchange: connections.Exchange) -> None:
         exchange.respond(200 if self.ready else 503, (), b"")
 
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -82,7 +82,14 @@
     digest: int
 
 
-Message = Hello | Load | Ask | Vouch | Changed
+class Suspect(msgspec.Struct, tag="s", array_like=True):
+    """Says that the sender could not connect to an endpoint."""
+
+    sender: str
+    endpoint: str
+
+
+Message = Hello | Load | Ask | Vouch | Changed | Suspect
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: Any = msgspec.msgpack.Decoder(Message)
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/_monitor.py
@@ -0,0 +1,101 @@
+"""Finds endpoints that are gone, before requests wait for them."""
+
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+import eventlet
+
+from hollycart.gateway import _state
+from hollycart_core import base
+from hollycart_core import connections
+from hollycart_core import placement
+
+# A connection takes two round trips at most; beyond this time the endpoint is
+# taken as cut off.
+_CHECK_TIMEOUT_MS = 150.0
+_RECHECK_MS = 300.0
+
+
+class EndpointMonitor:
+    """Checks endpoints that an instance suspects, by connecting to them.
+
+    A report of another instance alone condemns no endpoint: the other may be
+    cut off itself.
+
+    Args:
+        knowledge: Endpoints in force.
+        health: Receives the outcome.
+        clock: Source of time.
+        on_lost: Called with the id of an endpoint found unreachable.
+        tell: Tells the other instances to check an endpoint.
+    """
+
+    def __init__(
+        self,
+        knowledge: _state.Knowledge,
+        health: placement.EndpointHealth,
+        clock: base.Clock,
+        on_lost: Callable[[str], None],
+        tell: Callable[[str], None],
+    ) -> None:
+        self.knowledge = knowledge
+        self.health = health
+        self.clock = clock
+        self.on_lost = on_lost
+        self.tell = tell
+        self._checking: set[str] = set()
+        self._thread: Any = None
+
+    def start(self) -> None:
+        """Begins to check again what was unreachable."""
+        self._thread = eventlet.spawn(self._run)
+
+    def close(self) -> None:
+        """Stops."""
+        if self._thread is not None:
+            self._thread.kill()
+            self._thread = None
+
+    def suspect(self, endpoint_id: str) -> None:
+        """Checks an endpoint soon, unless it is known to be unreachable."""
+        known = self.knowledge.endpoints.get(endpoint_id)
+        if known is None or endpoint_id in self._checking:
+            return
+        if endpoint_id not in self.health.unreachable():
+            self._checking.add(endpoint_id)
+            eventlet.spawn_n(self._check, known)
+
+    def condemn(self, endpoint_id: str) -> None:
+        """Takes an endpoint out of use that did not accept a connection."""
+        if endpoint_id in self.health.unreachable():
+            return
+        logging.info("endpoint unreachable: endpoint=%s", endpoint_id)
+        self.health.note_unreachable(endpoint_id)
+        self.tell(endpoint_id)
+        self.on_lost(endpoint_id)
+
+    def _run(self) -> None:
+        while True:
+            self.clock.sleep_ms(_RECHECK_MS)
+            for endpoint_id in self.health.unreachable():
+                known = self.knowledge.endpoints.get(endpoint_id)
+                if known is None:
+                    self.health.forget(endpoint_id)
+                elif endpoint_id not in self._checking:
+                    self._checking.add(endpoint_id)
+                    eventlet.spawn_n(self._check, known)
+
+    def _check(self, endpoint: placement.Endpoint) -> None:
+        conn = connections.ClientConnection(endpoint.address, self.clock)
+        try:
+            conn.start(_CHECK_TIMEOUT_MS)
+        except base.EndpointUnreachableError:
+            self.condemn(endpoint.id)
+            return
+        finally:
+            conn.close()
+            self._checking.discard(endpoint.id)
+        if endpoint.id in self.health.unreachable():
+            logging.info("endpoint reachable again: endpoint=%s", endpoint.id)
+            self.health.note_reachable(endpoint.id)
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -42,6 +42,7 @@
         on_question: Answers an `Ask`; None keeps silent.
         on_vouch: Receives answers to questions.
         on_changed: Called with the IP number of a peer that knows more.
+        on_suspect: Called with an endpoint that a peer could not reach.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         on_question: Callable[[_messages.Ask], _messages.Vouch | None],
         on_vouch: Callable[[_messages.Vouch, str], None],
         on_changed: Callable[[_messages.Changed, str], None],
+        on_suspect: Callable[[str], None],
     ) -> None:
         self.name = name
         self.ip = ip
@@ -67,6 +69,7 @@
         self.on_question = on_question
         self.on_vouch = on_vouch
         self.on_changed = on_changed
+        self.on_suspect = on_suspect
         self.running = 0
         self.boot = rng.getrandbits(31)
         self._peers: dict[str, _Peer] = {}
@@ -150,6 +153,10 @@
         """Tells all instances that a new state is known here."""
         self._send(_messages.Changed(self.name, digest), self.addresses())
 
+    def tell_suspect(self, endpoint: str) -> None:
+        """Tells all instances that an endpoint could not be reached."""
+        self._send(_messages.Suspect(self.name, endpoint), self.addresses())
+
     def addresses(self) -> list[str]:
         """Returns the IP numbers that announcements go to."""
         return sorted(self._addresses)
@@ -258,6 +265,8 @@
                 self._send(answer, [ip])
         elif isinstance(message, _messages.Vouch):
             self.on_vouch(message, ip)
+        elif isinstance(message, _messages.Suspect):
+            self.on_suspect(message.endpoint)
         else:
             self.on_changed(message, ip)
 
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -223,6 +223,7 @@
             lambda ask: None,
             lambda vouch, ip: None,
             lambda changed, ip: None,
+            lambda endpoint: None,
         )
         self.health = placement.EndpointHealth()
         self.forwarder = _forwarder.Forwarder(
@@ -248,12 +249,13 @@
 
     def start(self):
         self.peers.start()
+        self.forwarder.start()
         self.front.start()
 
     def close(self):
         self.front.close()
         self.peers.close()
-        self.forwarder.pool.close()
+        self.forwarder.close()
 
     def learn(self, config=None, listed=None, fresh=True):
         self.revision += 1
