--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,6 +9,10 @@
 fi
 for source in packages/hollycart-core/src/hollycart_core \
     packages/hollycart/src/hollycart platform/hollycart_platform; do
-  rm -rf "target/deps/$(basename "$source")"
-  cp -R "$source" target/deps/
+  copy="target/deps/$(basename "$source")"
+  # An unchanged copy stays, so that processes that use it are not disturbed.
+  if ! diff -rq -x __pycache__ "$source" "$copy" > /dev/null 2>&1; then
+    rm -rf "$copy"
+    cp -R "$source" target/deps/
+  fi
 done
--- a/packages/hollycart-core/src/hollycart_core/placement/_health.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_health.py
@@ -8,6 +8,9 @@
 _SUSPECT_RATE = 0.55  # three failures in a row after a good record
 _SLOW_GAIN = 0.2  # share of the newest observation in the slowness
 _MAX_SLOWNESS = 20.0
+# Excess slowness halves in this time without observations, so that an endpoint
+# that nobody uses is tried again.
+_SLOWNESS_HALF_LIFE_MS = 3000.0
 
 
 class _State(NamedTuple):
@@ -16,6 +19,7 @@
     paused_until_ms: float = 0.0
     failure_rate: float = 0.0
     slowness: float = 1.0
+    slowness_ms: float = 0.0
 
 
 class EndpointHealth:
@@ -69,22 +73,36 @@
         if state is not None:
             self._states[endpoint] = state._replace(unreachable=False)
 
-    def note_pace(self, endpoint: str, ratio: float) -> None:
+    def note_pace(self, endpoint: str, ratio: float, now_ms: float) -> None:
         """Notes how much longer a pass took than predicted.
 
         Args:
             endpoint: Id of the endpoint.
             ratio: Observed over predicted time.
+            now_ms: Instant of the observation.
         """
-        state = self._states.get(endpoint, _State())
+        before = self.slowness(endpoint, now_ms)
+        if before == 1.0 and ratio <= 1.0:
+            return
         ratio = min(_MAX_SLOWNESS, max(1.0, ratio))
-        slowness = state.slowness + _SLOW_GAIN * (ratio - state.slowness)
-        self._states[endpoint] = state._replace(slowness=slowness)
+        after = before + _SLOW_GAIN * (ratio - before)
+        state = self._states.get(endpoint, _State())
+        self._states[endpoint] = state._replace(
+            slowness=after, slowness_ms=now_ms
+        )
 
-    def slowness(self, endpoint: str) -> float:
+    def slowness(self, endpoint: str, now_ms: float) -> float:
         """Returns the factor by which an endpoint is slower than published."""
         state = self._states.get(endpoint)
-        return state.slowness if state else 1.0
+        if state is None or state.slowness == 1.0:
+            return 1.0
+        age = (now_ms - state.slowness_ms) / _SLOWNESS_HALF_LIFE_MS
+        return 1.0 + (state.slowness - 1.0) * 0.5**age
+
+    def slow(self, now_ms: float, least: float) -> dict[str, float]:
+        """Returns the endpoints that are slower by a factor of `least`."""
+        found = {e: self.slowness(e, now_ms) for e in self._states}
+        return {e: round(f, 2) for e, f in found.items() if f >= least}
 
     def usable(self, endpoint: str, now_ms: float) -> bool:
         """Returns whether requests may be sent to an endpoint."""
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -105,6 +105,26 @@
                 best = found
         return best
 
+    def idle_pass_ms(
+        self, endpoint: str, model: _engine_model.EngineModel
+    ) -> float | None:
+        """Returns the published time of a pass in which nothing is read.
+
+        Args:
+            endpoint: Id of the endpoint.
+            model: Step model of its service.
+
+        Returns:
+            None while prompts are read there, since the time is not certain.
+        """
+        writers = context = 0
+        for work in self.view.at(endpoint):
+            if not work.writing:
+                return None
+            writers += 1
+            context += work.context_tokens
+        return model.pass_ms(writers, context) if writers else None
+
     def _with_shares(
         self,
         prompt: _types.Prompt,
@@ -296,7 +316,7 @@
             if left_ms < 0:
                 left_ms = max(_OVERDUE_MS, _OVERDUE_SHARE * work.read_ms)
             wait_ms = max(wait_ms, min(left_ms, wait_ms + work.read_ms))
-        slowness = self.health.slowness(endpoint.id)
+        slowness = self.health.slowness(endpoint.id, now_ms)
         return _State(
             endpoint,
             wait_ms,
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -26,10 +26,13 @@
 _MIN_LEFT_MS = 20.0  # with less time left nothing is sent
 # Rejections by endpoints after which a request is given up.
 _MAX_REJECTIONS = 3
-# Silence before the first event after which an endpoint is taken as lost:
-# this many times the prediction, at least the time for which an engine waits
-# for a dead helper.
-_FIRST_EVENT_FACTOR = 3.0
+# Silence before the first event after which all endpoints of an attempt are
+# checked: this many times the prediction, and a time for its error, in ms.
+_CHECK_FACTOR = 1.3
+_CHECK_MARGIN_MS = 150.0
+# Silence before the first event after which an endpoint is given up although
+# it accepts connections; earlier would repeat work that only is late.
+_FIRST_EVENT_FACTOR = 4.0
 # Silence between events after which an endpoint is taken as lost, in pauses
 # that the caller accepts, and the shortest, in ms.
 _PAUSE_FACTOR = 3.0
@@ -344,7 +347,7 @@
     def _wait_for_event(
         self, job: _Job, chosen: placement.Placement, attempt: str
     ) -> None:
-        if job.route.repeatable and chosen.helpers:
+        if job.route.repeatable and chosen.works:
             self._waiting[attempt] = _Waiting(
                 eventlet.getcurrent(),
                 frozenset(w.endpoint for w in chosen.works),
@@ -558,7 +561,7 @@
         sent: connections.RequestHead,
     ) -> tuple[connections.ResponseHead, _codec.AnswerMeta]:
         for _ in range(_FOREIGN_ANSWERS):
-            head = conn.read_head(self._patience_ms(job, chosen))
+            head = self._read_head(job, chosen, conn)
             answer = self.codec.decode_answer(head)
             if answer.request_id == job.meta.request_id:
                 return head, answer
@@ -573,6 +576,24 @@
             conn.skip_foreign_answer(sent)
         raise base.EndpointFailedError("answers to other requests only")
 
+    def _read_head(
+        self,
+        job: _Job,
+        chosen: placement.Placement,
+        conn: connections.ClientConnection,
+    ) -> connections.ResponseHead:
+        """Waits for the head; checks the endpoints if it is late."""
+        patience_ms = self._patience_ms(job, chosen)
+        check_ms = _CHECK_FACTOR * chosen.first_event_ms + _CHECK_MARGIN_MS
+        if not chosen.works or check_ms >= patience_ms:
+            return conn.read_head(patience_ms)
+        try:
+            return conn.read_head(check_ms)
+        except base.SilentEndpointError:
+            for work in chosen.works:
+                self.monitor.suspect(work.endpoint)
+        return conn.read_head(patience_ms - check_ms)
+
     def _patience_ms(self, job: _Job, chosen: placement.Placement) -> float:
         left_ms = job.deadline_ms - self.clock.now_ms()
         if not job.route.repeatable:
@@ -597,6 +618,7 @@
         events = progress.events
         events.drop_partial()
         seen = False
+        event_ms = 0.0
         while True:
             wait_ms = job.deadline_ms - self.clock.now_ms()
             if job.route.repeatable:
@@ -609,9 +631,13 @@
                 raise base.EndpointFailedError("event too long")
             if not whole:
                 continue
+            now_ms = self.clock.now_ms()
             if not seen:
                 seen = True
                 self._note_first_event(job, chosen, sent_ms)
+            elif chosen.works:
+                self._note_pace(job, chosen, now_ms - event_ms, now_ms)
+            event_ms = now_ms
             self._begin(job, progress, head)
             job.exchange.write(whole)
         rest = events.take_rest()
@@ -641,6 +667,21 @@
             self.clock.now_ms() - job.exchange.received_ms,
         )
 
+    def _note_pace(
+        self,
+        job: _Job,
+        chosen: placement.Placement,
+        gap_ms: float,
+        now_ms: float,
+    ) -> None:
+        assert job.service.engine is not None
+        expected_ms = self.placer.idle_pass_ms(
+            chosen.endpoint.id, self._model(job.service.engine)
+        )
+        if expected_ms:
+            ratio = gap_ms / expected_ms
+            self.health.note_pace(chosen.endpoint.id, ratio, now_ms)
+
     def _begin(
         self, job: _Job, progress: _Progress, head: connections.ResponseHead
     ) -> None:
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -77,11 +77,13 @@
             cfg.peer_port,
         )
         view = placement.LoadView()
+        health = placement.EndpointHealth()
         self.peers = _peers.PeerExchange(
             cfg.name,
             cfg.ip,
             cfg.peer_port,
             view,
+            health,
             clock,
             self.rng,
             self.reader.reads_store,
@@ -90,7 +92,6 @@
             self.reader.take_changed,
             self._on_suspect,
         )
-        health = placement.EndpointHealth()
         self.forwarder = _forwarder.Forwarder(
             self.codec,
             self.knowledge,
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -16,6 +16,7 @@
         reads: Whether it reads the store successfully.
         running: Requests in progress.
         works: Its work by attempt, times relative to the sending.
+        slow: Factors of endpoints that are slower than published.
     """
 
     sender: str
@@ -23,6 +24,7 @@
     reads: bool
     running: int
     works: list[list[placement.Work]]
+    slow: dict[str, float] = {}
 
 
 class Load(msgspec.Struct, tag="l", array_like=True):
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -19,6 +19,7 @@
 _MAX_DATAGRAM_BYTES = 8000  # well below the largest datagram
 _GATHER_MS = 2.0  # changes that are sent together
 _READ_BYTES = 65536
+_SLOW_TOLD = 1.5  # slowness of an endpoint that others are told of
 
 
 class _Peer(NamedTuple):
@@ -36,6 +37,7 @@
         ip: IP number of this instance.
         port: UDP port, the same on all instances.
         view: Receives the work of the others.
+        health: Receives and gives the slowness of endpoints.
         clock: Source of time.
         rng: Source of randomness.
         reads: Returns whether this instance reads the store.
@@ -51,6 +53,7 @@
         ip: str,
         port: int,
         view: placement.LoadView,
+        health: placement.EndpointHealth,
         clock: base.Clock,
         rng: random.Random,
         reads: Callable[[], bool],
@@ -63,6 +66,7 @@
         self.ip = ip
         self.port = port
         self.view = view
+        self.health = health
         self.clock = clock
         self.rng = rng
         self.reads = reads
@@ -194,7 +198,12 @@
         ]
         self._send(
             _messages.Hello(
-                self.name, self.boot, self.reads(), self.running, works
+                self.name,
+                self.boot,
+                self.reads(),
+                self.running,
+                works,
+                self.health.slow(now_ms, _SLOW_TOLD),
             ),
             self.addresses(),
         )
@@ -246,6 +255,8 @@
                     for w in message.works
                 ],
             )
+            for endpoint, factor in message.slow.items():
+                self.health.note_pace(endpoint, factor, now_ms)
         elif isinstance(message, _messages.Load):
             known = self._peers.get(message.sender)
             self._note(
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -212,11 +212,13 @@
         self.clock = base.SystemClock()
         self.knowledge = _state.Knowledge(4000.0, 2000.0)
         view = placement.LoadView()
+        self.health = placement.EndpointHealth()
         self.peers = _peers.PeerExchange(
             "me",
             "127.0.0.1",
             _free_port(),
             view,
+            self.health,
             self.clock,
             random.Random(1),
             lambda: True,
@@ -225,7 +227,6 @@
             lambda changed, ip: None,
             lambda endpoint: None,
         )
-        self.health = placement.EndpointHealth()
         self.forwarder = _forwarder.Forwarder(
             PlainCodec(),
             self.knowledge,
