--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/__init__.py
@@ -0,0 +1,21 @@
+"""Plays prompts through engines and the placement under virtual time."""
+
+from hollycart_bench.virtual._engine import VirtualEngine
+from hollycart_bench.virtual._load import Arrival
+from hollycart_bench.virtual._load import PromptKind
+from hollycart_bench.virtual._load import draw_arrivals
+from hollycart_bench.virtual._load import seasonal_phases
+from hollycart_bench.virtual._play import Outcome
+from hollycart_bench.virtual._play import play
+from hollycart_bench.virtual._play import share_on_time
+
+__all__ = [
+    "Arrival",
+    "Outcome",
+    "PromptKind",
+    "VirtualEngine",
+    "draw_arrivals",
+    "play",
+    "seasonal_phases",
+    "share_on_time",
+]
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/_play.py
@@ -0,0 +1,201 @@
+"""Plays a load through a placement and reports what callers get."""
+
+from collections.abc import Sequence
+import heapq
+import itertools
+from typing import Any
+from typing import NamedTuple
+
+from hollycart_bench.virtual import _engine
+from hollycart_bench.virtual import _load
+from hollycart_core import placement
+from hollycart_core import routing
+
+_WAIT_MS = 100.0  # before a prompt without a place is placed again
+
+
+class Outcome(NamedTuple):
+    """What a caller got.
+
+    Attributes:
+        arrival: The prompt.
+        first_ms: Time to the first event; infinity without one.
+        predicted_ms: Predicted time to the first event.
+        longest_pause_ms: Longest pause between events.
+        complete: Whether the whole answer came.
+    """
+
+    arrival: _load.Arrival
+    first_ms: float
+    predicted_ms: float
+    longest_pause_ms: float
+    complete: bool
+
+    @property
+    def on_time(self) -> bool:
+        """Whether the answer was complete and nothing of it late."""
+        kind = self.arrival.kind
+        return (
+            self.complete
+            and self.first_ms <= kind.target_ms
+            and self.longest_pause_ms <= kind.pause_ms
+        )
+
+
+class _Prompt:
+    def __init__(self, arrival: _load.Arrival) -> None:
+        self.arrival = arrival
+        self.unread = 0
+        self.main = ""
+        self.context = 0
+        self.first_ms = float("inf")
+        self.predicted_ms = 0.0
+        self.last_ms = 0.0
+        self.pause_ms = 0.0
+        self.complete = False
+
+
+def play(
+    arrivals: Sequence[_load.Arrival],
+    parameters: routing.EngineParameters,
+    engines: int,
+    slow: dict[int, float] | None = None,
+) -> list[Outcome]:
+    """Returns the outcome of every arrival.
+
+    Args:
+        arrivals: The load.
+        parameters: Step model of all engines.
+        engines: Number of engines.
+        slow: Factors on the times of some engines, by number.
+    """
+    return _Player(parameters, engines, slow or {}).run(arrivals)
+
+
+def share_on_time(outcomes: Sequence[Outcome], kind: str) -> float:
+    """Returns the share of a kind's prompts that are on time."""
+    of_kind = [o for o in outcomes if o.arrival.kind.name == kind]
+    return sum(o.on_time for o in of_kind) / max(1, len(of_kind))
+
+
+class _Player:
+    def __init__(
+        self,
+        parameters: routing.EngineParameters,
+        engines: int,
+        slow: dict[int, float],
+    ) -> None:
+        self.model = placement.EngineModel(parameters)
+        self.endpoints = [
+            placement.Endpoint(
+                f"e{i}", f"10.0.0.{i}:1", "s", "z", parameters.slots
+            )
+            for i in range(engines)
+        ]
+        self.engines = {
+            f"e{i}": _engine.VirtualEngine(parameters, slow.get(i, 1.0))
+            for i in range(engines)
+        }
+        self.running: set[str] = set()
+        self.view = placement.LoadView()
+        self.placer = placement.Placer(self.view, placement.EndpointHealth())
+        self.prompts: list[_Prompt] = []
+        self.events: list[tuple[float, int, str, Any]] = []
+        self.order = itertools.count()
+
+    def run(self, arrivals: Sequence[_load.Arrival]) -> list[Outcome]:
+        """Plays all arrivals to their ends."""
+        self.prompts = [_Prompt(a) for a in arrivals]
+        for number, arrival in enumerate(arrivals):
+            self._at(arrival.at_ms, "place", number)
+        while self.events:
+            now_ms, _, what, subject = heapq.heappop(self.events)
+            if what == "place":
+                self._place(subject, now_ms)
+            elif what == "pass":
+                self._end_pass(*subject, now_ms)
+        return [
+            Outcome(
+                p.arrival,
+                p.first_ms,
+                p.predicted_ms,
+                p.pause_ms,
+                p.complete,
+            )
+            for p in self.prompts
+        ]
+
+    def _at(self, at_ms: float, what: str, subject: Any) -> None:
+        heapq.heappush(self.events, (at_ms, next(self.order), what, subject))
+
+    def _place(self, number: int, now_ms: float) -> None:
+        prompt = self.prompts[number]
+        arrival = prompt.arrival
+        spent_ms = now_ms - arrival.at_ms
+        if spent_ms > arrival.kind.target_ms:
+            return
+        chosen = self.placer.choose(
+            placement.Prompt(
+                f"{number}",
+                arrival.tokens,
+                arrival.output_tokens,
+                arrival.kind.target_ms - spent_ms,
+                arrival.kind.wait_ms - spent_ms,
+                arrival.kind.pause_ms,
+            ),
+            self.model,
+            self.endpoints,
+            now_ms,
+        )
+        if chosen is None:
+            self._at(now_ms + _WAIT_MS, "place", number)
+            return
+        prompt.predicted_ms = spent_ms + chosen.first_event_ms
+        prompt.main = chosen.endpoint.id
+        prompt.unread = len(chosen.works)
+        prompt.context = chosen.works[0].context_tokens
+        self.view.add("i", chosen.works)
+        for work in chosen.works:
+            read_ms = self.model.read_ms(arrival.tokens, len(chosen.works))
+            tokens = arrival.tokens // len(chosen.works)
+            self.engines[work.endpoint].add(
+                _engine.Part(number, read_ms, tokens, work.main)
+            )
+            self._start(work.endpoint, now_ms)
+
+    def _start(self, endpoint: str, now_ms: float) -> None:
+        engine = self.engines[endpoint]
+        if endpoint in self.running or not engine.busy:
+            return
+        self.running.add(endpoint)
+        duration_ms, result = engine.run_pass()
+        self._at(now_ms + duration_ms, "pass", (endpoint, result))
+
+    def _end_pass(
+        self, endpoint: str, result: _engine.PassResult, now_ms: float
+    ) -> None:
+        self.running.discard(endpoint)
+        for number in result.events:
+            self._event(number, now_ms)
+        for number in result.ended:
+            self.prompts[number].complete = True
+            self.view.remove(f"{number}")
+        for number in result.read:
+            prompt = self.prompts[number]
+            prompt.unread -= 1
+            if not prompt.unread:
+                self._event(number, now_ms)
+                self.engines[prompt.main].write(
+                    number, prompt.arrival.output_tokens, prompt.context
+                )
+                self._start(prompt.main, now_ms)
+        self._start(endpoint, now_ms)
+
+    def _event(self, number: int, now_ms: float) -> None:
+        prompt = self.prompts[number]
+        if prompt.first_ms == float("inf"):
+            prompt.first_ms = now_ms - prompt.arrival.at_ms
+            self.view.start_writing(f"{number}")
+        else:
+            prompt.pause_ms = max(prompt.pause_ms, now_ms - prompt.last_ms)
+        prompt.last_ms = now_ms
