--- a/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
@@ -13,7 +13,7 @@
 
     Example:
         >>> view = LoadView()
-        >>> work = _types.Work("a", "e", True, False, 5, 9, 99, 200, 7, 7, 1)
+        >>> work = _types.Work("a", "e", True, False, 5, 9, 9, 99, 200, 7, 7, 1)
         >>> view.add("me", [work])
         >>> [w.attempt for w in view.at("e")]
         ['a']
@@ -43,8 +43,21 @@
         self._by_instance.setdefault(instance, set()).add(attempt)
         for work in parts:
             at = self._by_endpoint.setdefault(work.endpoint, {})
+            if not work.main and not work.writing:
+                self._delay_readers(at, work.read_ms)
             at[attempt] = work
 
+    def _delay_readers(
+        self, at: dict[str, _types.Work], delay_ms: float
+    ) -> None:
+        """Moves main parts back: parts of helpers are read ahead of them."""
+        for attempt, work in at.items():
+            if work.main and not work.writing:
+                ready_ms = work.ready_ms + delay_ms
+                at[attempt] = work._replace(
+                    ready_ms=ready_ms, first_ms=max(work.first_ms, ready_ms)
+                )
+
     def start_writing(self, attempt: str) -> None:
         """Notes the first event: reading has ended everywhere.
 
@@ -94,7 +107,10 @@
     def of(self, instance: str) -> list[tuple[_types.Work, ...]]:
         """Returns the work that an instance announced, by attempt."""
         return [
-            self._by_attempt[attempt][1]
+            tuple(
+                self._by_endpoint[work.endpoint][attempt]
+                for work in self._by_attempt[attempt][1]
+            )
             for attempt in self._by_instance.get(instance, ())
         ]
 
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -28,6 +28,8 @@
 _MEMORY_SHARE = 0.96
 # Part of the loss of a prompt that is late but still answered.
 _LATE_LOSS = 0.75
+# Length of a quick answer, in tokens: the mean that both users publish.
+_QUICK_ANSWER_TOKENS = 1500
 # A prompt whose first event is overdue is taken to need this part of its
 # reading again, at least this long, in ms.
 _OVERDUE_SHARE = 0.2
@@ -52,6 +54,20 @@
         return self.endpoint.slots - self.slots_used
 
 
+class _QuickDemand(NamedTuple):
+    """Prompts with shorter pauses that are expected beside a long one.
+
+    Attributes:
+        per_ms: Expected arrivals in a ms.
+        pause_ms: Pause that they accept.
+        weight: Importance of one.
+    """
+
+    per_ms: float
+    pause_ms: float
+    weight: float
+
+
 class Placer:
     """Minimises the predicted loss over all prompts, one prompt at a time.
 
@@ -94,12 +110,13 @@
         helpers = [s for s in states if s.helping < s.endpoint.slots]
         if not mains:
             return self._with_reservations(prompt, model, helpers, now_ms)
+        demand = self._quick_demand(prompt, model, states)
         best: _types.Placement | None = None
         for count in _SHARE_COUNTS:
             if count > 1 and count > len(helpers):
                 break
             found = self._with_shares(
-                prompt, model, mains, helpers, count, now_ms
+                prompt, model, mains, helpers, count, now_ms, demand
             )
             if found is not None and (best is None or found.cost < best.cost):
                 best = found
@@ -133,6 +150,7 @@
         helpers: list[_State],
         count: int,
         now_ms: float,
+        demand: _QuickDemand | None,
     ) -> _types.Placement | None:
         part_ms = model.read_ms(prompt.tokens, count)
         harms = {
@@ -164,6 +182,7 @@
                 + self._main_loss(main, prompt)
                 + sum(harms[s.endpoint.id] for s in chosen)
                 + _HELPER_LOSS * len(chosen)
+                + self._crowding(demand, helpers, main, chosen, part_ms)
             )
             if best is None or cost < best[0]:
                 best = (cost, finish_ms, main, chosen)
@@ -190,6 +209,59 @@
             cost,
         )
 
+    def _quick_demand(
+        self,
+        prompt: _types.Prompt,
+        model: _engine_model.EngineModel,
+        states: list[_State],
+    ) -> _QuickDemand | None:
+        """Returns what is expected of prompts with shorter pauses."""
+        quick = [
+            w
+            for s in states
+            for w in (*s.writers, *s.readers)
+            if w.main and w.pause_ms < prompt.pause_ms
+        ]
+        if not quick:
+            return None
+        # In a steady state as many come as end in the time of an answer.
+        answer_ms = model.write_ms(_QUICK_ANSWER_TOKENS)
+        return _QuickDemand(
+            (len(quick) + 1) / answer_ms,
+            min(w.pause_ms for w in quick),
+            sum(w.weight for w in quick) / len(quick),
+        )
+
+    def _crowding(
+        self,
+        demand: _QuickDemand | None,
+        states: list[_State],
+        main: _State,
+        chosen: list[_State],
+        part_ms: float,
+    ) -> float:
+        """Returns the loss of quick prompts that find no endpoint free."""
+        if demand is None:
+            return 0.0
+        allowed_ms = demand.pause_ms * _PAUSE_SHARE
+        taken = {s.endpoint.id for s in chosen}
+        taken.add(main.endpoint.id)
+        free = 0
+        blocked_ms = 0.0
+        for state in states:
+            before_ms = state.pass_ms + state.wait_ms
+            if state.endpoint.id not in taken:
+                if before_ms < allowed_ms:
+                    free += max(0, state.slots_free)
+            elif before_ms + part_ms > allowed_ms:
+                blocked_ms = max(blocked_ms, state.wait_ms + part_ms)
+            else:
+                free += max(0, state.slots_free)
+        missing = max(0.0, demand.per_ms * blocked_ms + 1.0 - free)
+        if not blocked_ms:
+            return 0.0
+        return missing * demand.weight * _LATE_LOSS
+
     def _with_reservations(
         self,
         prompt: _types.Prompt,
@@ -315,7 +387,7 @@
             left_ms = work.ready_ms - now_ms
             if left_ms < 0:
                 left_ms = max(_OVERDUE_MS, _OVERDUE_SHARE * work.read_ms)
-            wait_ms = max(wait_ms, min(left_ms, wait_ms + work.read_ms))
+            wait_ms = max(wait_ms, left_ms)
         slowness = self.health.slowness(endpoint.id, now_ms)
         return _State(
             endpoint,
@@ -389,7 +461,7 @@
         for work in state.readers:
             if not work.main:
                 continue
-            slack_ms = work.due_ms - max(now_ms, work.ready_ms)
+            slack_ms = work.due_ms - max(now_ms, work.first_ms)
             if 0 <= slack_ms < part_ms:
                 loss += work.weight * _LATE_LOSS
             elif slack_ms >= part_ms:
@@ -427,7 +499,8 @@
             main=main,
             writing=False,
             read_ms=part_ms * state.slowness,
-            ready_ms=now_ms + finish_ms,
+            ready_ms=now_ms + self._finish_ms(state, part_ms),
+            first_ms=now_ms + finish_ms,
             due_ms=now_ms + prompt.target_ms,
             pause_ms=prompt.pause_ms,
             context_tokens=prompt.tokens if main else 0,
--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -65,7 +65,8 @@
         main: Whether the answer is written here; others only help to read.
         writing: Whether the first event was seen.
         read_ms: Predicted time to read the part, in ms.
-        ready_ms: Instant at which reading is predicted to end.
+        ready_ms: Instant at which this part is predicted to be read.
+        first_ms: Instant at which the first event is predicted.
         due_ms: Instant at which the first event is late.
         pause_ms: Longest pause between events, in ms.
         context_tokens: Tokens that each step attends to here.
@@ -79,6 +80,7 @@
     writing: bool
     read_ms: float
     ready_ms: float
+    first_ms: float
     due_ms: float
     pause_ms: float
     context_tokens: int
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -125,6 +125,7 @@
         w._replace(
             read_ms=round(w.read_ms, 1),
             ready_ms=round(w.ready_ms - now_ms, 1),
+            first_ms=round(w.first_ms - now_ms, 1),
             due_ms=round(w.due_ms - now_ms, 1),
             weight=round(w.weight, 2),
         )
@@ -137,6 +138,10 @@
 ) -> list[placement.Work]:
     """Returns work with distances turned into instants."""
     return [
-        w._replace(ready_ms=w.ready_ms + now_ms, due_ms=w.due_ms + now_ms)
+        w._replace(
+            ready_ms=w.ready_ms + now_ms,
+            first_ms=w.first_ms + now_ms,
+            due_ms=w.due_ms + now_ms,
+        )
         for w in works
     ]
