--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -82,6 +82,7 @@
         self._last_read_ms = float("-inf")
         self._last_ask_ms = float("-inf")
         self._last_success_ms = float("-inf")
+        self._failing_since_ms: float | None = None
         self._fetching = False
 
     def start(self, peers: _peers.PeerExchange) -> None:
@@ -143,6 +144,7 @@
     def _run(self) -> None:
         while True:
             now_ms = self.clock.now_ms()
+            self.knowledge.expire(now_ms)
             due = now_ms - self._last_read_ms >= _READ_INTERVAL_MS
             if due and self._should_read(now_ms):
                 self._last_read_ms = now_ms
@@ -182,13 +184,17 @@
             read = self.store.range("")
         except base.HollycartError as exc:
             self.reads_failed += 1
+            if self._failing_since_ms is None:
+                self._failing_since_ms = began_ms
             logging.info("store read failed: %s", exc.detail)
             return
         finally:
             self._reading -= 1
         now_ms = self.clock.now_ms()
-        if now_ms - self._last_success_ms > _SHORT_OUTAGE_MS + _READ_INTERVAL_MS:
+        failing_ms = self._failing_since_ms
+        if failing_ms is not None and now_ms - failing_ms > _SHORT_OUTAGE_MS:
             self.knowledge.note_outage_end(now_ms)
+        self._failing_since_ms = None
         self._last_success_ms = now_ms
         self.reads_ok += 1
         self._learn(_state.RawState(read, _state.digest_of(read)), began_ms)
--- a/packages/hollycart/src/hollycart/gateway/_state.py
+++ b/packages/hollycart/src/hollycart/gateway/_state.py
@@ -82,6 +82,7 @@
         self.snapshot: Snapshot | None = None
         self.endpoints: dict[str, placement.Endpoint] = {}
         self._outage_ended_ms = float("-inf")
+        self._kept_until_ms: dict[str, float] = {}
 
     @property
     def config(self) -> routing.RoutingConfig | None:
@@ -97,6 +98,13 @@
         """Notes that the store answers again after it did not."""
         self._outage_ended_ms = now_ms
 
+    def expire(self, now_ms: float) -> None:
+        """Removes kept endpoints whose records did not return in time."""
+        for endpoint_id, until_ms in list(self._kept_until_ms.items()):
+            if now_ms >= until_ms:
+                del self._kept_until_ms[endpoint_id]
+                self.endpoints.pop(endpoint_id, None)
+
     def apply(self, raw: RawState, snapshot: Snapshot, now_ms: float) -> bool:
         """Takes over a snapshot unless it is older than what is known.
 
@@ -123,7 +131,9 @@
 
     def _take_endpoints(self, snapshot: Snapshot, now_ms: float) -> None:
         listed = {e.id: e for e in snapshot.endpoints}
-        if now_ms - self._outage_ended_ms < self.return_ms:
-            for endpoint_id, endpoint in self.endpoints.items():
-                listed.setdefault(endpoint_id, endpoint)
-        self.endpoints = listed
+        until_ms = self._outage_ended_ms + self.return_ms
+        kept = {}
+        if now_ms < until_ms:
+            kept = {i: e for i, e in self.endpoints.items() if i not in listed}
+        self._kept_until_ms = dict.fromkeys(kept, until_ms)
+        self.endpoints = {**listed, **kept}
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -0,0 +1,127 @@
+import random
+
+import pytest
+
+from hollycart import gateway
+from hollycart.gateway import _messages
+from hollycart.gateway import _reader
+from hollycart.gateway import _state
+from hollycart_core import base
+from hollycart_core import kv
+from hollycart_core import placement
+from hollycart_core import routing
+
+
+class Store:
+    """Returns what a test put there, or fails."""
+
+    def __init__(self):
+        self.read = kv.RangeResult(1, ())
+        self.down = False
+
+    def range(self, prefix):
+        if self.down:
+            raise base.KvUnavailableError("down")
+        return self.read
+
+
+class Decoder:
+    def decode(self, read):
+        endpoints = tuple(
+            placement.Endpoint(i.key, "1:1", "s", "z", 1) for i in read.items
+        )
+        cfg = routing.RoutingConfig(1, [], [])
+        return gateway.Snapshot(read.revision, 1, cfg, endpoints, {}, 0)
+
+
+class Peers:
+    """Records what the reader tells and asks."""
+
+    def __init__(self):
+        self.changes = []
+
+    def live(self):
+        return {}
+
+    def set_addresses(self, ips):
+        pass
+
+    def notify_changed(self, digest):
+        self.changes.append(digest)
+
+
+def items(*names):
+    return tuple(kv.KeyValue(n, b"", 1, 1) for n in names)
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+@pytest.fixture
+def clock():
+    return base.ManualClock(10000.0)
+
+
+@pytest.fixture
+def knowledge():
+    return _state.Knowledge(4400.0, 2000.0)
+
+
+@pytest.fixture
+def reader(store, knowledge, clock):
+    made = _reader.StateReader(
+        "me", store, Decoder(), knowledge, clock, random.Random(1), 1
+    )
+    made._peers = Peers()
+    return made
+
+
+def test_read_after_a_long_rest_is_no_end_of_an_outage(
+    reader, store, knowledge, clock
+):
+    store.read = kv.RangeResult(1, items("a", "b"))
+    reader._read()
+    clock.sleep_ms(60000)
+    store.read = kv.RangeResult(2, items("a"))
+    reader._read()
+    assert set(knowledge.endpoints) == {"a"}
+
+
+def test_records_lost_in_an_outage_are_awaited(
+    reader, store, knowledge, clock
+):
+    store.read = kv.RangeResult(1, items("a", "b"))
+    reader._read()
+    store.down = True
+    reader._read()
+    clock.sleep_ms(5000)
+    reader._read()
+    store.down = False
+    store.read = kv.RangeResult(2, items("a"))
+    reader._read()
+    assert set(knowledge.endpoints) == {"a", "b"}
+
+
+def test_vouch_counts_from_the_question(reader, store, knowledge, clock):
+    reader._read()
+    clock.sleep_ms(3000)
+    digest = knowledge.snapshot.digest
+    reader.take_vouch(
+        _messages.Vouch("p", clock.now_ms() - 900, 200, 1, 1, digest), "ip"
+    )
+    assert knowledge.freshness.age_ms(clock.now_ms()) == 1100
+
+
+def test_old_proof_is_not_passed_on(reader, clock):
+    reader._read()
+    assert reader.answer(_messages.Ask("p", 0.0)) is not None
+    clock.sleep_ms(4500)
+    assert reader.answer(_messages.Ask("p", 0.0)) is None
+
+
+def test_change_is_told_once(reader, store):
+    reader._read()
+    reader._read()
+    assert len(reader._peers.changes) == 1
