Decision log, metrics page, settings followed; gateway in smaller modules

Cause: free-text lines could not be followed from an id to a cause, the forwarder had grown over 700 lines, a changed settings file was not read. Change: one type for each decision, JSON lines that never block; metrics in the usual text format from the one registry; limits of callers from the configuration; tests of the adapter.

--- a/Makefile
+++ b/Makefile
@@ -9,11 +9,11 @@
 
 setup: $(VENV)/installed
 
-$(VENV)/installed: requirements.txt packages/*/pyproject.toml
+$(VENV)/installed: requirements.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation \
-	  -e packages/hollycart-core -e packages/hollycart -e packages/hollycartctl -e packages/hollycart-bench
+	  -e packages/hollycart-core -e packages/hollycart -e packages/hollycartctl -e packages/hollycart-bench -e platform
 	touch $(VENV)/installed
 
 run: setup
@@ -25,7 +25,7 @@
 test: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy packages/*/src
+	$(BIN)/mypy packages/*/src platform/hollycart_platform
 	$(BIN)/python -m pytest $(PYTEST_ARGS)
 
 prove: setup
--- a/packages/hollycart-bench/src/hollycart_bench/virtual/_play.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/_play.py
@@ -113,7 +113,8 @@
             if what == "place":
                 self._place(subject, now_ms)
             elif what == "pass":
-                self._end_pass(*subject, now_ms)
+                endpoint, result = subject
+                self._end_pass(endpoint, result, now_ms)
         return [
             Outcome(
                 p.arrival,
--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -241,7 +241,7 @@
             raise base.SilentEndpointError(f"no answer from {self.address}")
         try:
             data = self._receive_bytes(timeout_ms)
-        except socket_errors.timeout as exc:
+        except TimeoutError as exc:
             raise base.SilentEndpointError(
                 f"no answer from {self.address}"
             ) from exc
--- a/packages/hollycart-core/src/hollycart_core/connections/_messages.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_messages.py
@@ -73,7 +73,8 @@
     """Returns the fields that do not concern a single connection.
 
     Example:
-        >>> end_to_end_headers([(b"Connection", b"x"), (b"X", b"1"), (b"A", b"")])
+        >>> fields = [(b"Connection", b"x"), (b"X", b"1"), (b"A", b"")]
+        >>> end_to_end_headers(fields)
         ((b'A', b''),)
     """
     fields = list(headers)
--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import errno
-import socket as socket_errors
 from typing import Any
 from typing import NamedTuple
 
@@ -284,7 +283,7 @@
         try:
             self._sock.settimeout(timeout_ms / 1000.0)
             data = self._sock.recv(_READ_BYTES)
-        except socket_errors.timeout:
+        except TimeoutError:
             if began_ms is not None:
                 self._reject(408, "request not complete in time")
             return False
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_client.py
@@ -35,7 +35,9 @@
 
 
 def test_cut_body_with_length_fails(exchange):
-    conn = exchange([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"], "close")
+    conn = exchange(
+        [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"], "close"
+    )
     conn.read_head(1000)
     with pytest.raises(base.EndpointFailedError):
         conn.read_body(1000, 100)
--- a/packages/hollycart-core/src/hollycart_core/placement/_engine_model.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_engine_model.py
@@ -28,7 +28,9 @@
         """Returns the time to read one of `shares` equal parts, in ms."""
         cfg = self.parameters
         pairs_m = tokens * tokens / 2e6
-        whole_ms = tokens / cfg.read_tokens_per_ms + pairs_m * cfg.pairs_ms_per_m
+        whole_ms = (
+            tokens / cfg.read_tokens_per_ms + pairs_m * cfg.pairs_ms_per_m
+        )
         return whole_ms / shares
 
     def pass_ms(self, writers: int, context_tokens: int) -> float:
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -160,9 +160,7 @@
 
         def helper_loss(state: _State) -> float:
             wait_ms = self._finish_ms(state, part_ms)
-            return harms[state.endpoint.id] + self._delay_loss(
-                prompt, wait_ms
-            )
+            return harms[state.endpoint.id] + self._delay_loss(prompt, wait_ms)
 
         ranked = sorted(helpers, key=helper_loss) if count > 1 else []
         best: tuple[float, float, _State, list[_State]] | None = None
@@ -417,9 +415,7 @@
         A pass in progress is half done on average; the part is read in the
         next one, and the first event follows at its end.
         """
-        return (
-            1.5 * state.pass_ms + state.wait_ms + part_ms * state.slowness
-        )
+        return 1.5 * state.pass_ms + state.wait_ms + part_ms * state.slowness
 
     def _slot_wait_ms(
         self,
--- a/packages/hollycart-core/src/hollycart_core/placement/tests/test_load_view.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/test_load_view.py
@@ -7,7 +7,18 @@
 def work():
     def make(attempt, endpoint, main=True, memory=100):
         return placement.Work(
-            attempt, endpoint, main, False, 50, 60, 60, 300, 200, 100, memory, 1.0
+            attempt,
+            endpoint,
+            main,
+            False,
+            50,
+            60,
+            60,
+            300,
+            200,
+            100,
+            memory,
+            1.0,
         )
 
     return make
--- a/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
@@ -75,7 +75,9 @@
     )
 
 
-def test_full_endpoint_is_avoided(placer, model, endpoints, write, short_prompt):
+def test_full_endpoint_is_avoided(
+    placer, model, endpoints, write, short_prompt
+):
     used = write([short_prompt(f"s{i}") for i in range(9)])
     assert max(used.count(e) for e in set(used)) == 8
 
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -0,0 +1,108 @@
+"""Chooses endpoints for requests among those in force."""
+
+import collections
+
+from hollycart.gateway import _failures
+from hollycart.gateway import _job
+from hollycart.gateway import _state
+from hollycart_core import base
+from hollycart_core import placement
+from hollycart_core import routing
+
+
+class EndpointChooser:
+    """Filters endpoints and asks the placer, or takes the least busy one.
+
+    Args:
+        knowledge: Endpoints in force.
+        placer: Chooses endpoints for prompts.
+        health: Outcomes by endpoint.
+        zone: Availability zone of this instance.
+
+    Attributes:
+        running: Requests of this instance in progress, by endpoint.
+    """
+
+    def __init__(
+        self,
+        knowledge: _state.Knowledge,
+        placer: placement.Placer,
+        health: placement.EndpointHealth,
+        zone: str,
+    ) -> None:
+        self.knowledge = knowledge
+        self.placer = placer
+        self.health = health
+        self.zone = zone
+        self.running: collections.Counter[str] = collections.Counter()
+        self._models: dict[routing.EngineParameters, placement.EngineModel] = {}
+
+    def choose(
+        self, job: _job.Job, excluded: set[str], attempt: str, now_ms: float
+    ) -> placement.Placement:
+        """Returns where an attempt goes.
+
+        Raises:
+            NoEndpointError: If the service has no endpoint left.
+            MemoryUnavailableError: If the prompt finds no memory now.
+        """
+        candidates = self._candidates(job.service.name, excluded, now_ms)
+        if job.service.engine is None or not job.meta.prompt_tokens:
+            endpoint = placement.least_busy(candidates, self.running, self.zone)
+            assert endpoint is not None
+            return placement.Placement(endpoint, (), (), 0.0, 0.0)
+        spent_ms = now_ms - job.exchange.received_ms
+        prompt = placement.Prompt(
+            attempt,
+            job.meta.prompt_tokens,
+            job.meta.output_tokens,
+            job.route.target_ms - spent_ms,
+            job.deadline_ms - now_ms,
+            job.route.max_pause_ms,
+            self.zone,
+        )
+        chosen = self.placer.choose(
+            prompt, self.model(job.service.engine), candidates, now_ms
+        )
+        if chosen is None:
+            raise _failures.MemoryUnavailableError(
+                "no memory free", _failures.RETRY_AFTER_MS
+            )
+        return chosen
+
+    def model(
+        self, parameters: routing.EngineParameters
+    ) -> placement.EngineModel:
+        """Returns the model of engines with these parameters."""
+        model = self._models.get(parameters)
+        if model is None:
+            model = placement.EngineModel(parameters)
+            self._models[parameters] = model
+        return model
+
+    def note_pace(
+        self, job: _job.Job, endpoint: str, gap_ms: float, now_ms: float
+    ) -> None:
+        """Compares the pause between two events with the published time."""
+        if job.service.engine is None:
+            return
+        expected_ms = self.placer.idle_pass_ms(
+            endpoint, self.model(job.service.engine)
+        )
+        if expected_ms:
+            self.health.note_pace(endpoint, gap_ms / expected_ms, now_ms)
+
+    def _candidates(
+        self, service: str, excluded: set[str], now_ms: float
+    ) -> list[placement.Endpoint]:
+        usable = [
+            e
+            for e in self.knowledge.endpoints.values()
+            if e.service == service and not e.leaving and e.id not in excluded
+        ]
+        if not usable:
+            raise base.NoEndpointError(
+                f"no endpoint of {service}", _failures.RETRY_AFTER_MS
+            )
+        healthy = [e for e in usable if self.health.usable(e.id, now_ms)]
+        return healthy or usable
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -6,6 +6,7 @@
 from absl import logging
 import eventlet
 
+from hollycart import observe
 from hollycart.gateway import _codec
 from hollycart.gateway import _forwarder
 from hollycart.gateway import _peers
@@ -39,6 +40,7 @@
         store: The platform's key-value store.
         codec: Translates messages.
         decoder: Decodes the platform's state.
+        log: Receives the decisions.
         clock: Source of time; has to count suspensions.
         rng: Source of randomness.
     """
@@ -49,6 +51,7 @@
         store: kv.KeyValueStore,
         codec: _codec.RequestCodec,
         decoder: _state.StateDecoder,
+        log: observe.DecisionLog,
         clock: base.Clock,
         rng: random.Random,
     ) -> None:
@@ -56,6 +59,8 @@
         self.store = store
         self.codec = codec
         self.decoder = decoder
+        self.log = log
+        self.metrics = observe.Metrics()
         self.clock = clock
         self.rng = rng
         self.draining = False
@@ -72,6 +77,7 @@
             self.store,
             self.decoder,
             self.knowledge,
+            self.log,
             clock,
             self.rng,
             cfg.peer_port,
@@ -84,6 +90,7 @@
             cfg.peer_port,
             view,
             health,
+            self.log,
             clock,
             self.rng,
             self.reader.reads_store,
@@ -101,6 +108,8 @@
             placement.SharedRetryBudget(
                 cfg.retry_ratio, cfg.retry_window_ms, cfg.retry_slack
             ),
+            self.log,
+            self.metrics,
             clock,
             cfg.zone,
             cfg.stall_ms,
@@ -114,6 +123,10 @@
         self._peer_server = connections.FrontServer(
             f"{cfg.ip}:{cfg.peer_port}", self._answer_peer, clock
         )
+        self._metrics_page: observe.MetricsPage | None = None
+        self._metrics_server = connections.FrontServer(
+            f"{cfg.ip}:{cfg.metrics_port}", self._answer_metrics, clock
+        )
 
     def start(self) -> None:
         """Starts all parts.
@@ -126,15 +139,21 @@
         self.reader.start(self.peers)
         self._peer_server.start()
         self._ready_server.start()
+        if self.cfg.metrics_port:
+            self._metrics_server.start()
         self.forwarder.start()
         self.front.start()
+        self.reader.on_change = self._apply_limits
         self._threads = [eventlet.spawn(self._keep_record)]
-        logging.info("started: name=%s", self.cfg.name)
+        self.log.write(
+            observe.decisions.Started(self.cfg.zone, self.cfg.front_address)
+        )
 
     def drain(self) -> None:
         """Serves what still comes, until nothing runs or the time is up."""
         began_ms = self.clock.now_ms()
         self.draining = True
+        self.log.write(observe.decisions.Draining(self.front.running))
         self.front.drain()
         end_ms = began_ms + self.cfg.grace_ms - _END_MARGIN_MS
         while self.clock.now_ms() < end_ms:
@@ -142,19 +161,37 @@
             if idle and self.clock.now_ms() - began_ms > _UNREADY_MS:
                 break
             self.clock.sleep_ms(_POLL_MS)
-        logging.info("drained: running=%d", self.front.running)
+        self.log.write(observe.decisions.Stopped(self.front.running))
 
     def close(self) -> None:
         """Stops all parts."""
         self.front.close()
         self._ready_server.close()
         self._peer_server.close()
+        self._metrics_server.close()
         for thread in self._threads:
             thread.kill()
         self.reader.close()
         self.peers.close()
         self.forwarder.close()
 
+    def reload(self, cfg: _settings.GatewaySettings) -> None:
+        """Takes over changed settings; addresses need a restart."""
+        old, new = self.cfg._asdict(), cfg._asdict()
+        changed = [name for name in new if new[name] != old[name]]
+        if not changed:
+            return
+        live = [n for n in changed if n not in _settings.NEED_RESTART]
+        kept = {n: old[n] for n in changed if n in _settings.NEED_RESTART}
+        self.cfg = cfg._replace(**kept)
+        self.peers.set_addresses(set(cfg.seed_ips))
+        self.knowledge.freshness.max_age_ms = cfg.revoke_ms - _REVOKE_MARGIN_MS
+        budget = self.forwarder.budget
+        budget.ratio = cfg.retry_ratio
+        budget.window_ms = cfg.retry_window_ms
+        budget.slack = cfg.retry_slack
+        self.log.write(observe.decisions.Reloaded(tuple(live), tuple(kept)))
+
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
@@ -167,6 +204,17 @@
     def _on_suspect(self, endpoint: str) -> None:
         self.forwarder.monitor.suspect(endpoint)
 
+    def _apply_limits(self) -> None:
+        """Bounds what callers send as the configuration in force says."""
+        cfg = self.knowledge.config
+        if cfg is not None:
+            self.front.limits = connections.ServerLimits(
+                cfg.limits.max_header_bytes,
+                cfg.limits.max_body_bytes,
+                cfg.limits.header_timeout_ms,
+                cfg.limits.idle_timeout_ms,
+            )
+
     def _answer_ready(self, exchange: connections.Exchange) -> None:
         exchange.respond(200 if self.ready else 503, (), b"")
 
@@ -177,6 +225,37 @@
         else:
             exchange.respond(200, (), state)
 
+    def _answer_metrics(self, exchange: connections.Exchange) -> None:
+        if self._metrics_page is None:
+            self._metrics_page = observe.MetricsPage(self.metrics, self.gauges)
+        kind = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        exchange.respond(200, kind, self._metrics_page.render())
+
+    def gauges(self) -> dict[str, float]:
+        """Returns current values for the metrics page."""
+        now_ms = self.clock.now_ms()
+        cfg = self.knowledge.config
+        found = {
+            "running": float(self.front.running),
+            "ready": float(self.ready),
+            "peers": float(len(self.peers.live())),
+            "endpoints": float(len(self.knowledge.endpoints)),
+            "endpoints_unreachable": float(
+                len(self.forwarder.health.unreachable())
+            ),
+            "config_version": float(cfg.version if cfg else 0),
+            "store_reads": float(self.reader.reads_ok),
+            "store_reads_failed": float(self.reader.reads_failed),
+            "log_lines_dropped": float(self.log.dropped),
+        }
+        if cfg is not None:
+            found["state_age_ms"] = self.knowledge.freshness.age_ms(now_ms)
+            for name in cfg.services:
+                found[f"retry_budget_left_{name}"] = self.forwarder.budget.left(
+                    name, now_ms, int(found["peers"]) + 1
+                )
+        return found
+
     def _keep_record(self) -> None:
         """Keeps the record under which other instances find this one."""
         lease_id = 0
--- a/packages/hollycart/src/hollycart/gateway/_monitor.py
+++ b/packages/hollycart/src/hollycart/gateway/_monitor.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from absl import logging
 import eventlet
 
+from hollycart import observe
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import connections
@@ -27,6 +27,7 @@
         knowledge: Endpoints in force.
         health: Receives the outcome.
         clock: Source of time.
+        log: Receives the decisions.
         on_lost: Called with the id of an endpoint found unreachable.
         tell: Tells the other instances to check an endpoint.
     """
@@ -36,12 +37,14 @@
         knowledge: _state.Knowledge,
         health: placement.EndpointHealth,
         clock: base.Clock,
+        log: observe.DecisionLog,
         on_lost: Callable[[str], None],
         tell: Callable[[str], None],
     ) -> None:
         self.knowledge = knowledge
         self.health = health
         self.clock = clock
+        self.log = log
         self.on_lost = on_lost
         self.tell = tell
         self._checking: set[str] = set()
@@ -70,7 +73,7 @@
         """Takes an endpoint out of use that did not accept a connection."""
         if endpoint_id in self.health.unreachable():
             return
-        logging.info("endpoint unreachable: endpoint=%s", endpoint_id)
+        self.log.write(observe.decisions.EndpointUnreachable(endpoint_id))
         self.health.note_unreachable(endpoint_id)
         self.tell(endpoint_id)
         self.on_lost(endpoint_id)
@@ -97,5 +100,5 @@
             conn.close()
             self._checking.discard(endpoint.id)
         if endpoint.id in self.health.unreachable():
-            logging.info("endpoint reachable again: endpoint=%s", endpoint.id)
+            self.log.write(observe.decisions.EndpointReachable(endpoint.id))
             self.health.note_reachable(endpoint.id)
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -10,6 +10,7 @@
 from eventlet.green import socket
 import msgspec
 
+from hollycart import observe
 from hollycart.gateway import _messages
 from hollycart_core import base
 from hollycart_core import placement
@@ -38,6 +39,7 @@
         port: UDP port, the same on all instances.
         view: Receives the work of the others.
         health: Receives and gives the slowness of endpoints.
+        log: Receives the decisions.
         clock: Source of time.
         rng: Source of randomness.
         reads: Returns whether this instance reads the store.
@@ -54,6 +56,7 @@
         port: int,
         view: placement.LoadView,
         health: placement.EndpointHealth,
+        log: observe.DecisionLog,
         clock: base.Clock,
         rng: random.Random,
         reads: Callable[[], bool],
@@ -67,6 +70,7 @@
         self.port = port
         self.view = view
         self.health = health
+        self.log = log
         self.clock = clock
         self.rng = rng
         self.reads = reads
@@ -193,9 +197,7 @@
     def send_hello(self) -> None:
         """Announces this instance and all of its work."""
         now_ms = self.clock.now_ms()
-        works = [
-            _messages.relative(w, now_ms) for w in self.view.of(self.name)
-        ]
+        works = [_messages.relative(w, now_ms) for w in self.view.of(self.name)]
         self._send(
             _messages.Hello(
                 self.name,
@@ -210,9 +212,11 @@
 
     def _drop_silent(self) -> None:
         live = self.live()
+        now_ms = self.clock.now_ms()
         for name in list(self._peers):
             if name not in live:
-                logging.info("peer lost: name=%s", name)
+                silent_ms = round(now_ms - self._peers[name].heard_ms, 1)
+                self.log.write(observe.decisions.PeerLost(name, silent_ms))
                 del self._peers[name]
                 self.view.replace_instance(name, ())
 
@@ -250,10 +254,7 @@
             self._note(message.sender, ip, message.boot, message.reads)
             self.view.replace_instance(
                 message.sender,
-                [
-                    tuple(_messages.absolute(w, now_ms))
-                    for w in message.works
-                ],
+                [tuple(_messages.absolute(w, now_ms)) for w in message.works],
             )
             for endpoint, factor in message.slow.items():
                 self.health.note_pace(endpoint, factor, now_ms)
@@ -263,9 +264,7 @@
                 message.sender, ip, message.boot, bool(known and known.reads)
             )
             for works in message.added:
-                self.view.add(
-                    message.sender, _messages.absolute(works, now_ms)
-                )
+                self.view.add(message.sender, _messages.absolute(works, now_ms))
             for attempt in message.writing:
                 self.view.start_writing(attempt)
             for attempt in message.ended:
@@ -284,7 +283,7 @@
     def _note(self, name: str, ip: str, boot: int, reads: bool) -> None:
         known = self._peers.get(name)
         if known is None:
-            logging.info("peer found: name=%s ip=%s", name, ip)
+            self.log.write(observe.decisions.PeerFound(name, ip))
         elif known.boot != boot:
             self.view.replace_instance(name, ())
         self._peers[name] = _Peer(ip, boot, self.clock.now_ms(), reads)
--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -1,5 +1,6 @@
 """Keeps the state fresh: few instances read the store, the others ask them."""
 
+from collections.abc import Callable
 import random
 from typing import Any
 import zlib
@@ -8,12 +9,14 @@
 import eventlet
 import msgspec
 
+from hollycart import observe
 from hollycart.gateway import _messages
 from hollycart.gateway import _peers
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import kv
+from hollycart_core import placement
 
 # Instances that read the store; one more than needed, so that a loss of one
 # delays nobody.
@@ -52,9 +55,13 @@
         store: The platform's key-value store.
         decoder: Decodes what lies there.
         knowledge: Receives what is learned.
+        log: Receives the decisions.
         clock: Source of time.
         rng: Source of randomness.
         peer_port: TCP port on which peers pass on their state.
+
+    Attributes:
+        on_change: Called after a new state was taken over.
     """
 
     def __init__(
@@ -63,6 +70,7 @@
         store: kv.KeyValueStore,
         decoder: _state.StateDecoder,
         knowledge: _state.Knowledge,
+        log: observe.DecisionLog,
         clock: base.Clock,
         rng: random.Random,
         peer_port: int,
@@ -71,9 +79,11 @@
         self.store = store
         self.decoder = decoder
         self.knowledge = knowledge
+        self.log = log
         self.clock = clock
         self.rng = rng
         self.peer_port = peer_port
+        self.on_change: Callable[[], None] = lambda: None
         self.reads_ok = 0
         self.reads_failed = 0
         self._peers: _peers.PeerExchange | None = None
@@ -84,6 +94,7 @@
         self._last_success_ms = float("-inf")
         self._failing_since_ms: float | None = None
         self._fetching = False
+        self._fresh = True
 
     def start(self, peers: _peers.PeerExchange) -> None:
         """Begins to read."""
@@ -145,6 +156,7 @@
         while True:
             now_ms = self.clock.now_ms()
             self.knowledge.expire(now_ms)
+            self._note_freshness(now_ms)
             due = now_ms - self._last_read_ms >= _READ_INTERVAL_MS
             if due and self._should_read(now_ms):
                 self._last_read_ms = now_ms
@@ -155,6 +167,19 @@
                 self._ask(now_ms)
             self.clock.sleep_ms(_TICK_MS * (0.8 + 0.4 * self.rng.random()))
 
+    def _note_freshness(self, now_ms: float) -> None:
+        age_ms = self.knowledge.freshness.age_ms(now_ms)
+        fresh = self.knowledge.freshness.holds(now_ms)
+        if fresh == self._fresh or self.knowledge.snapshot is None:
+            return
+        self._fresh = fresh
+        kind = (
+            observe.decisions.FreshnessRegained
+            if fresh
+            else observe.decisions.FreshnessLost
+        )
+        self.log.write(kind(round(age_ms, 1)))
+
     def _should_read(self, now_ms: float) -> bool:
         age_ms = self.knowledge.freshness.age_ms(now_ms)
         return age_ms > _SELF_READ_MS or self.name in self._readers()
@@ -186,12 +211,16 @@
             self.reads_failed += 1
             if self._failing_since_ms is None:
                 self._failing_since_ms = began_ms
-            logging.info("store read failed: %s", exc.detail)
+                self._note_store_lost(exc)
             return
         finally:
             self._reading -= 1
         now_ms = self.clock.now_ms()
         failing_ms = self._failing_since_ms
+        if failing_ms is not None:
+            self.log.write(
+                observe.decisions.StoreRegained(round(now_ms - failing_ms, 1))
+            )
         if failing_ms is not None and now_ms - failing_ms > _SHORT_OUTAGE_MS:
             self.knowledge.note_outage_end(now_ms)
         self._failing_since_ms = None
@@ -209,17 +238,48 @@
         else:
             snapshot = self.decoder.decode(raw.read)
             snapshot = snapshot._replace(digest=raw.digest)
-        changed = self.knowledge.apply(raw, snapshot, self.clock.now_ms())
+        before = self.knowledge.endpoints
+        now_ms = self.clock.now_ms()
+        changed = self.knowledge.apply(raw, snapshot, now_ms)
         self.knowledge.freshness.note(began_ms)
         self._peers.set_addresses(set(snapshot.peers.values()))
         if changed:
-            logging.info(
-                "state learned: revision=%d config=%d endpoints=%d",
+            self.on_change()
+            self._note_state(before, snapshot, now_ms)
+            self._peers.notify_changed(raw.digest)
+
+    def _note_store_lost(self, exc: base.HollycartError) -> None:
+        age_ms = self.knowledge.freshness.age_ms(self.clock.now_ms())
+        known = self.knowledge.snapshot is not None
+        self.log.write(
+            observe.decisions.StoreLost(
+                exc.detail, round(age_ms, 1) if known else None
+            )
+        )
+
+    def _note_state(
+        self,
+        before: dict[str, placement.Endpoint],
+        snapshot: _state.Snapshot,
+        now_ms: float,
+    ) -> None:
+        after = self.knowledge.endpoints
+        leaving = [
+            i
+            for i, e in after.items()
+            if e.leaving and not (i in before and before[i].leaving)
+        ]
+        self.log.write(
+            observe.decisions.StateLearned(
                 snapshot.revision,
                 snapshot.config.version if snapshot.config else 0,
-                len(snapshot.endpoints),
+                len(after),
+                tuple(i for i in after if i not in before),
+                tuple(leaving),
+                tuple(i for i in before if i not in after),
+                round(self.knowledge.freshness.age_ms(now_ms), 1),
             )
-            self._peers.notify_changed(raw.digest)
+        )
 
     def _fetch_soon(self, ip: str) -> None:
         if not self._fetching:
--- a/packages/hollycart/src/hollycart/gateway/_reserver.py
+++ b/packages/hollycart/src/hollycart/gateway/_reserver.py
@@ -6,6 +6,7 @@
 import eventlet
 
 from hollycart.gateway import _codec
+from hollycart.gateway import _failures
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import placement
@@ -20,12 +21,6 @@
 _MAX_REPLY_BYTES = 65536
 
 
-class MemoryUnavailableError(base.NotExecutedError):
-    """Memory that was predicted to be free is not; nothing is set aside."""
-
-    code = "memory_unavailable"
-
-
 class Reserver:
     """Reserves, renews and releases.
 
@@ -53,7 +48,7 @@
             for item in sorted(wanted, key=lambda r: r.endpoint.id):
                 done.append(item)
                 if not self._order(ticket, item):
-                    raise MemoryUnavailableError(
+                    raise _failures.MemoryUnavailableError(
                         f"no memory at {item.endpoint.id}", _RENEW_MS
                     )
         except BaseException:
--- a/packages/hollycart/src/hollycart/gateway/_settings.py
+++ b/packages/hollycart/src/hollycart/gateway/_settings.py
@@ -47,3 +47,21 @@
     retry_slack: float
     stall_ms: float
     hold_max_ms: float
+
+
+# Settings that are read only at the start.
+NEED_RESTART = frozenset(
+    (
+        "name",
+        "ip",
+        "zone",
+        "front_address",
+        "ready_address",
+        "peer_port",
+        "metrics_port",
+        "store_address",
+        "lease_min_ms",
+        "stall_ms",
+        "hold_max_ms",
+    )
+)
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from hollycart import gateway
+from hollycart import observe
 from hollycart.gateway import _forwarder
 from hollycart.gateway import _peers
 from hollycart.gateway import _state
@@ -205,12 +206,24 @@
     )
 
 
+class RecordingLog(observe.DecisionLog):
+    """Keeps decisions for the tests."""
+
+    def __init__(self):
+        super().__init__("me", base.SystemClock())
+        self.lines = []
+
+    def write(self, decision):
+        self.lines.append(decision)
+
+
 class System:
     """A forwarder behind a front server, with scripted endpoints."""
 
     def __init__(self, config, endpoints):
         self.clock = base.SystemClock()
         self.knowledge = _state.Knowledge(4000.0, 2000.0)
+        self.log = RecordingLog()
         view = placement.LoadView()
         self.health = placement.EndpointHealth()
         self.peers = _peers.PeerExchange(
@@ -219,6 +232,7 @@
             _free_port(),
             view,
             self.health,
+            self.log,
             self.clock,
             random.Random(1),
             lambda: True,
@@ -234,6 +248,8 @@
             placement.Placer(view, self.health),
             self.health,
             placement.SharedRetryBudget(0.2, 10000.0, 100),
+            self.log,
+            observe.Metrics(),
             self.clock,
             "z",
             1500.0,
@@ -314,5 +330,3 @@
         raise AssertionError("condition does not hold")
 
     return wait
-
-
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -127,9 +127,7 @@
     assert runs(endpoints) == 1
 
 
-def test_stream_of_a_caller_that_comes_back_goes_on(
-    system, endpoints, answers
-):
+def test_stream_of_a_caller_that_comes_back_goes_on(system, endpoints, answers):
     system.learn()
     script(endpoints, answers.events(1, 4))
     reply = system.call("/stream/", tokens=5000, after=2)
--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hollycart import gateway
+from hollycart import observe
 from hollycart.gateway import _messages
 from hollycart.gateway import _reader
 from hollycart.gateway import _state
@@ -72,7 +73,14 @@
 @pytest.fixture
 def reader(store, knowledge, clock):
     made = _reader.StateReader(
-        "me", store, Decoder(), knowledge, clock, random.Random(1), 1
+        "me",
+        store,
+        Decoder(),
+        knowledge,
+        observe.DecisionLog("me", clock),
+        clock,
+        random.Random(1),
+        1,
     )
     made._peers = Peers()
     return made
@@ -89,9 +97,7 @@
     assert set(knowledge.endpoints) == {"a"}
 
 
-def test_records_lost_in_an_outage_are_awaited(
-    reader, store, knowledge, clock
-):
+def test_records_lost_in_an_outage_are_awaited(reader, store, knowledge, clock):
     store.read = kv.RangeResult(1, items("a", "b"))
     reader._read()
     store.down = True
