--- /dev/null
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/tests/test_explain.py
@@ -0,0 +1,59 @@
+import json
+import pathlib
+
+import pytest
+
+from hollycartctl import diagnosis
+
+DATA = pathlib.Path(__file__).parent / "data"
+REQUESTS = json.loads((DATA / "requests.json").read_text())
+
+
+def recorded(cause):
+    text = (DATA / f"{cause}.jsonl").read_text()
+    return diagnosis.read_lines(text.splitlines())
+
+
+@pytest.mark.parametrize("cause", sorted(REQUESTS))
+def test_cause_is_named_from_recorded_logs(cause):
+    found = diagnosis.explain(REQUESTS[cause], recorded(cause))
+    assert found.cause == cause
+    assert found.summary
+
+
+@pytest.mark.parametrize("cause", sorted(REQUESTS))
+def test_story_is_in_order_and_names_the_request(cause):
+    found = diagnosis.explain(REQUESTS[cause], recorded(cause))
+    times = [line.time_ms for line in found.story]
+    assert times == sorted(times)
+    assert REQUESTS[cause] in [x.fields.get("request") for x in found.story]
+
+
+def line(event, time_ms=1.0, instance="a", **fields):
+    return diagnosis.LogLine(
+        time_ms, instance, event, {"event": event, **fields}
+    )
+
+
+def test_late_endpoint_is_told_from_a_queue():
+    slow = [
+        line("first_event", request="r", endpoint="e", predicted_ms=100,
+             seen_ms=900),
+        line("answered", request="r"),
+    ]  # fmt: skip
+    queued = [
+        line("first_event", request="r", endpoint="e", predicted_ms=2000,
+             seen_ms=2100),
+        line("answered", request="r"),
+    ]  # fmt: skip
+    assert diagnosis.explain("r", slow).cause == "endpoint_late"
+    assert diagnosis.explain("r", queued).cause == "queued"
+
+
+def test_unknown_request_has_no_story():
+    assert diagnosis.explain("r", [line("started")]) is None
+
+
+def test_noise_between_lines_is_skipped():
+    texts = ["", "no json", "{broken", '9.1 edge {"event":"started"}', "{}"]
+    assert [x.event for x in diagnosis.read_lines(texts)] == ["started"]
--- a/packages/hollycartctl/src/hollycartctl/main.py
+++ b/packages/hollycartctl/src/hollycartctl/main.py
@@ -17,6 +17,7 @@
 
 from hollycart_core import base
 from hollycart_core import orders
+from hollycartctl import diagnosis
 from hollycartctl import operations
 
 EXIT_INVALID = 2
@@ -62,6 +63,40 @@
     _report(operations.default_client().apply(_read(file)), json)
 
 
+def explain(request_id: str, *files: pathlib.Path, json: bool = False) -> None:
+    """Prints the story of a request from instances' logs, and its cause.
+
+    Args:
+        request_id: Id that the caller sent.
+        files: Log files of the instances; none reads standard input.
+        json: Print JSON.
+    """
+    texts: list[str] = []
+    for file in files:
+        texts += _read(file).splitlines()
+    if not files:
+        texts = sys.stdin.read().splitlines()
+    found = diagnosis.explain(request_id, diagnosis.read_lines(texts))
+    if found is None:
+        sys.stderr.write(f"no line names request {request_id}\n")
+        sys.exit(EXIT_INVALID)
+    if json:
+        _print_json(found)
+        return
+    begin_ms = found.story[0].time_ms
+    for line in found.story:
+        fields = {
+            k: v
+            for k, v in line.fields.items()
+            if k not in ("time_ms", "instance", "event", "request")
+        }
+        sys.stdout.write(
+            f"{line.time_ms - begin_ms:9.1f} ms {line.instance} {line.event}"
+            f" {msgspec.json.encode(fields).decode()}\n"
+        )
+    sys.stdout.write(f"cause: {found.cause}: {found.summary}\n")
+
+
 def export(*, json: bool = False) -> None:
     """Prints the table as CSV.
 
@@ -208,6 +243,7 @@
         "teams": [add, rotate_key],
         "targets": targets,
         "drain": drain,
+        "explain": explain,
     }
     try:
         defopt.run(commands, no_negated_flags=True)
