--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -28,6 +28,15 @@
 _MEMORY_SHARE = 0.96
 # Part of the loss of a prompt that is late but still answered.
 _LATE_LOSS = 0.75
+# Bounds on the time of one decision: endpoints that are looked at closely, and
+# numbers of shares tried without a gain.
+_MAX_MAINS = 10
+_MAX_HELPERS = 24
+_MAX_WORSE = 3
+# Parts below this time are not divided further: a step takes one ms.
+_SMALL_PART_MS = 8.0
+# Shares with which endpoints are compared before the number is known.
+_ROUGH_SHARES = 4
 # Length of a quick answer, in tokens: the mean that both users publish.
 _QUICK_ANSWER_TOKENS = 1500
 # A prompt whose first event is overdue is taken to need this part of its
@@ -111,7 +120,26 @@
         if not mains:
             return self._with_reservations(prompt, model, helpers, now_ms)
         demand = self._quick_demand(prompt, model, states)
+        rough_ms = model.read_ms(prompt.tokens, _ROUGH_SHARES)
+
+        def rough_loss(state: _State) -> float:
+            return self._harm(
+                state, rough_ms, prompt, now_ms
+            ) + self._delay_loss(prompt, self._finish_ms(state, rough_ms))
+
+        if len(helpers) > _MAX_HELPERS:
+            helpers = sorted(helpers, key=rough_loss)[:_MAX_HELPERS]
+        if len(mains) > _MAX_MAINS:
+            mains = sorted(
+                mains,
+                key=lambda s: (
+                    rough_loss(s)
+                    + self._main_loss(s, prompt)
+                    + (0.0 if s.slots_free > 0 else 1.0)
+                ),
+            )[:_MAX_MAINS]
         best: _types.Placement | None = None
+        worse = 0
         for count in _SHARE_COUNTS:
             if count > 1 and count > len(helpers):
                 break
@@ -120,6 +148,12 @@
             )
             if found is not None and (best is None or found.cost < best.cost):
                 best = found
+                worse = 0
+            else:
+                worse += 1
+            small = model.read_ms(prompt.tokens, count) < _SMALL_PART_MS
+            if small or worse >= _MAX_WORSE:
+                break
         return best
 
     def idle_pass_ms(
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -7,6 +7,32 @@
 from hollycart_core import placement
 
 
+class Part(msgspec.Struct, array_like=True):
+    """Work at one endpoint, with times in whole ms from the sending."""
+
+    endpoint: str
+    ready_ms: int
+    context_tokens: int
+    memory_tokens: int
+
+
+class Announced(msgspec.Struct, array_like=True):
+    """All work of one attempt; the first part is the writing endpoint's.
+
+    What the parts share is sent once: bytes between availability zones are
+    dear.
+    """
+
+    attempt: str
+    writing: bool
+    read_ms: int
+    first_ms: int
+    due_ms: int
+    pause_ms: int
+    weight: int
+    parts: list[Part]
+
+
 class Hello(msgspec.Struct, tag="h", array_like=True):
     """Announces an instance and all of its work.
 
@@ -23,7 +49,7 @@
     boot: int
     reads: bool
     running: int
-    works: list[list[placement.Work]]
+    works: list[Announced]
     slow: dict[str, float] = {}
 
 
@@ -40,7 +66,7 @@
 
     sender: str
     boot: int
-    added: list[list[placement.Work]]
+    added: list[Announced]
     writing: list[str]
     ended: list[str]
 
@@ -117,31 +143,53 @@
     return message
 
 
-def relative(
-    works: tuple[placement.Work, ...], now_ms: float
-) -> list[placement.Work]:
-    """Returns work with instants as distances from `now_ms`."""
-    return [
-        w._replace(
-            read_ms=round(w.read_ms, 1),
-            ready_ms=round(w.ready_ms - now_ms, 1),
-            first_ms=round(w.first_ms - now_ms, 1),
-            due_ms=round(w.due_ms - now_ms, 1),
-            weight=round(w.weight, 2),
-        )
-        for w in works
-    ]
-
-
-def absolute(
-    works: list[placement.Work], now_ms: float
-) -> list[placement.Work]:
-    """Returns work with distances turned into instants."""
-    return [
-        w._replace(
-            ready_ms=w.ready_ms + now_ms,
-            first_ms=w.first_ms + now_ms,
-            due_ms=w.due_ms + now_ms,
+def pack(works: tuple[placement.Work, ...], now_ms: float) -> Announced:
+    """Returns the work of an attempt as it is sent at `now_ms`."""
+    main = works[0]
+    return Announced(
+        main.attempt,
+        main.writing,
+        round(main.read_ms),
+        round(main.first_ms - now_ms),
+        round(main.due_ms - now_ms),
+        round(main.pause_ms),
+        round(main.weight),
+        [
+            Part(
+                w.endpoint,
+                round(w.ready_ms - now_ms),
+                w.context_tokens,
+                w.memory_tokens,
+            )
+            for w in works
+        ],
+    )
+
+
+def unpack(announced: Announced, now_ms: float) -> tuple[placement.Work, ...]:
+    """Returns the work that was announced, as seen at `now_ms`.
+
+    Example:
+        >>> work = placement.Work(
+        ...     "a", "e", True, False, 5, 9, 9, 99, 200, 7, 7, 1
+        ... )
+        >>> unpack(pack((work,), 1.0), 1.0)[0] == work
+        True
+    """
+    return tuple(
+        placement.Work(
+            announced.attempt,
+            part.endpoint,
+            number == 0,
+            announced.writing,
+            announced.read_ms,
+            part.ready_ms + now_ms,
+            announced.first_ms + now_ms,
+            announced.due_ms + now_ms,
+            announced.pause_ms,
+            part.context_tokens,
+            part.memory_tokens,
+            announced.weight,
         )
-        for w in works
-    ]
+        for number, part in enumerate(announced.parts)
+    )
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -180,7 +180,7 @@
         message = _messages.Load(
             self.name,
             self.boot,
-            [_messages.relative(w, now_ms) for w in self._added.values()],
+            [_messages.pack(w, now_ms) for w in self._added.values()],
             self._writing,
             self._ended,
         )
@@ -197,7 +197,7 @@
     def send_hello(self) -> None:
         """Announces this instance and all of its work."""
         now_ms = self.clock.now_ms()
-        works = [_messages.relative(w, now_ms) for w in self.view.of(self.name)]
+        works = [_messages.pack(w, now_ms) for w in self.view.of(self.name)]
         self._send(
             _messages.Hello(
                 self.name,
@@ -254,7 +254,7 @@
             self._note(message.sender, ip, message.boot, message.reads)
             self.view.replace_instance(
                 message.sender,
-                [tuple(_messages.absolute(w, now_ms)) for w in message.works],
+                [_messages.unpack(w, now_ms) for w in message.works],
             )
             for endpoint, factor in message.slow.items():
                 self.health.note_pace(endpoint, factor, now_ms)
@@ -264,7 +264,7 @@
                 message.sender, ip, message.boot, bool(known and known.reads)
             )
             for works in message.added:
-                self.view.add(message.sender, _messages.absolute(works, now_ms))
+                self.view.add(message.sender, _messages.unpack(works, now_ms))
             for attempt in message.writing:
                 self.view.start_writing(attempt)
             for attempt in message.ended:
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_peers.py
@@ -0,0 +1,123 @@
+import random
+import socket
+
+import pytest
+
+from hollycart import observe
+from hollycart.gateway import _messages
+from hollycart.gateway import _peers
+from hollycart_core import base
+from hollycart_core import placement
+
+
+@pytest.fixture
+def pair():
+    """Two instances that know each other's address."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+    clock = base.SystemClock()
+    made = []
+    for number in (1, 2):
+        name = f"i{number}"
+        exchange = _peers.PeerExchange(
+            name,
+            f"127.0.0.{number}",
+            port,
+            placement.LoadView(),
+            placement.EndpointHealth(),
+            observe.DecisionLog(name, clock),
+            clock,
+            random.Random(number),
+            lambda: True,
+            lambda ask: _messages.Vouch("x", ask.stamp_ms, 5.0, 1, 1, 1),
+            lambda vouch, ip: vouches.append((vouch, ip)),
+            lambda changed, ip: None,
+            lambda endpoint: suspects.append(endpoint),
+        )
+        exchange.set_addresses({"127.0.0.1", "127.0.0.2"})
+        made.append(exchange)
+    vouches, suspects = [], []
+    for exchange in made:
+        exchange.start()
+    yield (*made, vouches, suspects)
+    for exchange in made:
+        exchange.close()
+
+
+@pytest.fixture
+def work():
+    def make(attempt, endpoint="e1", main=True):
+        now_ms = base.SystemClock().now_ms()
+        return placement.Work(
+            attempt,
+            endpoint,
+            main,
+            False,
+            50.0,
+            now_ms + 500,
+            now_ms + 600,
+            now_ms + 3000,
+            800.0,
+            7000,
+            8000 if main else 0,
+            2.0,
+        )
+
+    return make
+
+
+def test_work_is_seen_by_the_other_until_its_end(pair, work, eventually):
+    first, second, *_ = pair
+    first.add((work("a"), work("a", "e2", main=False)))
+    eventually(lambda: list(second.view.at("e2")))
+    (seen,) = second.view.at("e1")
+    assert (seen.main, seen.read_ms, seen.memory_tokens) == (True, 50, 8000)
+    assert abs(seen.due_ms - base.SystemClock().now_ms() - 3000) < 2000
+    first.start_writing("a")
+    eventually(lambda: [w.writing for w in second.view.at("e1")] == [True])
+    assert not list(second.view.at("e2"))
+    first.remove("a")
+    eventually(lambda: not list(second.view.at("e1")))
+
+
+def test_instances_find_each_other(pair, eventually):
+    first, second, *_ = pair
+    eventually(lambda: second.live() == {"i1": True})
+    assert second.ip_of("i1") == "127.0.0.1"
+
+
+def test_announcement_repairs_what_was_lost(pair, work, eventually):
+    first, second, *_ = pair
+    first.view.add("i1", (work("a"),))
+    first.send_hello()
+    eventually(lambda: list(second.view.at("e1")))
+
+
+def test_question_is_answered(pair, eventually):
+    first, second, vouches, _ = pair
+    first.ask(["127.0.0.2"])
+    eventually(lambda: vouches)
+    assert vouches[0][0].age_ms == 5.0
+
+
+def test_suspicion_is_told(pair, eventually):
+    first, _, _, suspects = pair
+    first.tell_suspect("e9")
+    eventually(lambda: suspects == ["e9"])
+
+
+def test_slowness_is_told(pair, eventually):
+    first, second, *_ = pair
+    now_ms = first.clock.now_ms()
+    for _ in range(20):
+        first.health.note_pace("e1", 6.0, now_ms)
+    first.send_hello()
+    eventually(lambda: second.health.slowness("e1", now_ms) > 1.0)
+
+
+def test_malformed_datagram_is_left_out(pair, eventually):
+    first, second, *_ = pair
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(b"\xff\x00", ("127.0.0.2", second.port))
+    eventually(lambda: second.live() == {"i1": True})
