--- a/packages/hollycart-bench/src/hollycart_bench/virtual/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/_engine.py
@@ -62,16 +62,15 @@
         return bool(self._named or self._writers or self._begun)
 
     def add(self, part: Part) -> None:
-        """Queues a part; parts of helpers are read ahead of others.
+        """Queues a part.
 
-        A main part waits for a free slot.
+        A helper's part is read ahead of everything that waits, the newest
+        first, as seen on played days. A main part waits for a free slot.
         """
         if part.main and self._slots_used() >= self.parameters.slots:
             self._queue.append(part)
             return
-        place = len(self._named)
-        if not part.main:
-            place = sum(1 for p in self._named if not p.main)
+        place = len(self._named) if part.main else 0
         self._named.insert(place, part)
         self._parts.insert(place, [part.read_ms, float(part.tokens)])
 
--- a/packages/hollycart-bench/src/hollycart_bench/virtual/_play.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/_play.py
@@ -112,6 +112,9 @@
             now_ms, _, what, subject = heapq.heappop(self.events)
             if what == "place":
                 self._place(subject, now_ms)
+            elif what == "send":
+                number, chosen = subject
+                self._send(number, chosen, now_ms)
             elif what == "pass":
                 endpoint, result = subject
                 self._end_pass(endpoint, result, now_ms)
@@ -156,6 +159,12 @@
         prompt.unread = len(chosen.works)
         prompt.context = chosen.works[0].context_tokens
         self.view.add("i", chosen.works)
+        self._at(now_ms + chosen.start_ms, "send", (number, chosen))
+
+    def _send(
+        self, number: int, chosen: placement.Placement, now_ms: float
+    ) -> None:
+        arrival = self.prompts[number].arrival
         for work in chosen.works:
             read_ms = self.model.read_ms(arrival.tokens, len(chosen.works))
             tokens = arrival.tokens // len(chosen.works)
--- a/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
@@ -44,16 +44,16 @@
         for work in parts:
             at = self._by_endpoint.setdefault(work.endpoint, {})
             if not work.main and not work.writing:
-                self._delay_readers(at, work.read_ms)
+                self._delay_readers(at, work)
             at[attempt] = work
 
     def _delay_readers(
-        self, at: dict[str, _types.Work], delay_ms: float
+        self, at: dict[str, _types.Work], new: _types.Work
     ) -> None:
-        """Moves main parts back: parts of helpers are read ahead of them."""
+        """Moves parts back that a new helper's part is read ahead of."""
         for attempt, work in at.items():
-            if work.main and not work.writing:
-                ready_ms = work.ready_ms + delay_ms
+            if not work.writing and work.ready_ms > new.ready_ms:
+                ready_ms = work.ready_ms + new.read_ms
                 at[attempt] = work._replace(
                     ready_ms=ready_ms, first_ms=max(work.first_ms, ready_ms)
                 )
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -37,6 +37,10 @@
 _SMALL_PART_MS = 8.0
 # Shares with which endpoints are compared before the number is known.
 _ROUGH_SHARES = 4
+# A shorter wait than this is not worth a held send, in ms.
+_MIN_HOLD_MS = 20.0
+# Part of the time left that a prompt is held at most.
+_MAX_HOLD_SHARE = 0.3
 # Length of a quick answer, in tokens: the mean that both users publish.
 _QUICK_ANSWER_TOKENS = 1500
 # A prompt whose first event is overdue is taken to need this part of its
@@ -124,7 +128,7 @@
 
         def rough_loss(state: _State) -> float:
             return self._harm(
-                state, rough_ms, prompt, now_ms
+                state, rough_ms, prompt, state.wait_ms
             ) + self._delay_loss(prompt, self._finish_ms(state, rough_ms))
 
         if len(helpers) > _MAX_HELPERS:
@@ -187,58 +191,81 @@
         demand: _QuickDemand | None,
     ) -> _types.Placement | None:
         part_ms = model.read_ms(prompt.tokens, count)
-        harms = {
-            s.endpoint.id: self._harm(s, part_ms, prompt, now_ms)
-            for s in helpers
-        }
-
-        def helper_loss(state: _State) -> float:
-            wait_ms = self._finish_ms(state, part_ms)
-            return harms[state.endpoint.id] + self._delay_loss(prompt, wait_ms)
-
-        ranked = sorted(helpers, key=helper_loss) if count > 1 else []
-        best: tuple[float, float, _State, list[_State]] | None = None
-        for main in self._main_candidates(prompt, mains, part_ms, now_ms):
+        ranked: list[_State] = []
+        if count > 1:
+            ranked = sorted(
+                helpers,
+                key=lambda s: (
+                    self._harm(s, part_ms, prompt, s.wait_ms)
+                    + self._delay_loss(prompt, self._finish_ms(s, part_ms))
+                ),
+            )
+        best: _types.Placement | None = None
+        for main in self._main_candidates(prompt, mains, part_ms):
             others = [s for s in ranked if s.endpoint != main.endpoint]
             chosen = others[: count - 1]
             if len(chosen) < count - 1:
                 continue
-            finish_ms = self._finish_ms(main, part_ms) + self._slot_wait_ms(
-                main, prompt, model
-            )
-            for state in chosen:
-                finish_ms = max(finish_ms, self._finish_ms(state, part_ms))
-            cost = (
-                self._delay_loss(prompt, finish_ms)
-                + self._harm(main, part_ms, prompt, now_ms)
-                + self._main_loss(main, prompt)
-                + sum(harms[s.endpoint.id] for s in chosen)
-                + _HELPER_LOSS * len(chosen)
-                + self._crowding(demand, helpers, main, chosen, part_ms)
-            )
-            if best is None or cost < best[0]:
-                best = (cost, finish_ms, main, chosen)
-        if best is None:
-            return None
-        cost, finish_ms, main, chosen = best
-        works = [self._work(prompt, main, True, part_ms, finish_ms, now_ms)]
-        works += [
+            crowding = self._crowding(demand, helpers, main, chosen, part_ms)
+            for hold in (False, True):
+                found = self._schedule(
+                    prompt, model, main, chosen, part_ms, now_ms, hold
+                )
+                if found is None:
+                    continue
+                found = found._replace(cost=found.cost + crowding)
+                if best is None or found.cost < best.cost:
+                    best = found
+        return best
+
+    def _schedule(
+        self,
+        prompt: _types.Prompt,
+        model: _engine_model.EngineModel,
+        main: _State,
+        chosen: list[_State],
+        part_ms: float,
+        now_ms: float,
+        hold: bool,
+    ) -> _types.Placement | None:
+        """Returns a placement that is sent at once or held for its turn."""
+        everyone = [main, *chosen]
+        start_ms = 0.0
+        if hold:
+            start_ms = max(s.wait_ms for s in everyone)
+            if not chosen or start_ms < _MIN_HOLD_MS:
+                return None
+            if start_ms > _MAX_HOLD_SHARE * prompt.left_ms:
+                return None
+        # A held part finds nothing before it. Otherwise a helper's part is
+        # read first, the writing endpoint's own part last.
+        main_wait_ms = start_ms if hold else main.wait_ms
+        ends_ms = [self._read_ms(main, part_ms) + main_wait_ms]
+        ends_ms += [self._read_ms(s, part_ms) + start_ms for s in chosen]
+        finish_ms = max(ends_ms) + self._slot_wait_ms(main, prompt, model)
+        cost = (
+            self._delay_loss(prompt, finish_ms)
+            + self._main_loss(main, prompt)
+            + _HELPER_LOSS * len(chosen)
+        )
+        for state in everyone:
+            same_pass_ms = 0.0 if hold else state.wait_ms
+            cost += self._harm(state, part_ms, prompt, same_pass_ms)
+        if not hold:
+            cost += self._preemption(chosen, part_ms, now_ms)
+        works = tuple(
             self._work(
-                prompt,
-                state,
-                False,
-                part_ms,
-                self._finish_ms(state, part_ms),
-                now_ms,
+                prompt, state, state is main, part_ms, end_ms, finish_ms, now_ms
             )
-            for state in chosen
-        ]
+            for state, end_ms in zip(everyone, ends_ms, strict=True)
+        )
         return _types.Placement(
             main.endpoint,
             tuple(s.endpoint for s in chosen),
-            tuple(works),
+            works,
             finish_ms,
             cost,
+            start_ms=start_ms,
         )
 
     def _quick_demand(
@@ -323,7 +350,7 @@
         total = int(model.parameters.memory_tokens * _MEMORY_SHARE)
 
         def loss(state: _State) -> float:
-            return self._harm(state, part_ms, prompt, now_ms) + (
+            return self._harm(state, part_ms, prompt, state.wait_ms) + (
                 prompt.weight * state.memory_tokens / total
             )
 
@@ -343,33 +370,31 @@
         ]
         if not with_slot:
             return None
-        main = with_slot[0]
-        order = [main, *(i for i in range(count) if i != main)]
-        finish_ms = max(self._finish_ms(s, part_ms) for s in chosen)
-        works = tuple(
-            self._work(
+        order = [with_slot[0], *(i for i in range(count) if i != with_slot[0])]
+        best: _types.Placement | None = None
+        for hold in (False, True):
+            found = self._schedule(
                 prompt,
-                chosen[i],
-                i == main,
+                model,
+                chosen[order[0]],
+                [chosen[i] for i in order[1:]],
                 part_ms,
-                self._finish_ms(chosen[i], part_ms),
                 now_ms,
-            )._replace(
-                memory_tokens=tokens[i],
-                context_tokens=prompt.tokens // count,
+                hold,
             )
-            for i in order
-        )
-        cost = self._delay_loss(prompt, finish_ms) + sum(
-            loss(s) for s in chosen
-        )
-        return _types.Placement(
-            chosen[main].endpoint,
-            tuple(chosen[i].endpoint for i in order[1:]),
-            works,
-            finish_ms,
-            cost,
-            tuple(
+            if found is not None and (best is None or found.cost < best.cost):
+                best = found
+        if best is None:
+            return None
+        return best._replace(
+            works=tuple(
+                work._replace(
+                    memory_tokens=tokens[i],
+                    context_tokens=prompt.tokens // count,
+                )
+                for i, work in zip(order, best.works, strict=True)
+            ),
+            reservations=tuple(
                 _types.Reservation(chosen[i].endpoint, tokens[i])
                 for i in order
                 if tokens[i] > 0
@@ -381,13 +406,12 @@
         prompt: _types.Prompt,
         mains: list[_State],
         part_ms: float,
-        now_ms: float,
     ) -> list[_State]:
         """Returns the few mains that are worth a full evaluation."""
 
         def loss(state: _State) -> float:
             return (
-                self._harm(state, part_ms, prompt, now_ms)
+                self._harm(state, part_ms, prompt, state.wait_ms)
                 + self._delay_loss(prompt, self._finish_ms(state, part_ms))
                 + self._main_loss(state, prompt)
                 + (0.0 if state.slots_free > 0 else 1.0)
@@ -449,7 +473,11 @@
         A pass in progress is half done on average; the part is read in the
         next one, and the first event follows at its end.
         """
-        return 1.5 * state.pass_ms + state.wait_ms + part_ms * state.slowness
+        return state.wait_ms + self._read_ms(state, part_ms)
+
+    def _read_ms(self, state: _State, part_ms: float) -> float:
+        """Returns the same as if nothing waited to be read before it."""
+        return 1.5 * state.pass_ms + part_ms * state.slowness
 
     def _slot_wait_ms(
         self,
@@ -478,29 +506,46 @@
         state: _State,
         part_ms: float,
         prompt: _types.Prompt,
-        now_ms: float,
+        wait_ms: float,
     ) -> float:
-        """Returns the loss of others at an endpoint if a part is read there."""
-        before_ms = state.pass_ms + state.wait_ms
+        """Returns the loss of those who write where a part is read.
+
+        Args:
+            state: The endpoint.
+            part_ms: Time to read the part.
+            prompt: The prompt.
+            wait_ms: What is read in the same pass.
+        """
+        before_ms = state.pass_ms + wait_ms
         after_ms = before_ms + part_ms * state.slowness
         loss = 0.0
         for work in state.writers:
             allowed_ms = work.pause_ms * _PAUSE_SHARE
             if before_ms <= allowed_ms < after_ms:
                 loss += work.weight * _LATE_LOSS
-        for work in state.readers:
-            if not work.main:
-                continue
-            slack_ms = work.due_ms - max(now_ms, work.first_ms)
-            if 0 <= slack_ms < part_ms:
-                loss += work.weight * _LATE_LOSS
-            elif slack_ms >= part_ms:
-                loss += work.weight * _SOONER * part_ms / (slack_ms + part_ms)
         # A pass that is too long for the prompt's own events.
         if state.pass_ms > prompt.pause_ms * _PAUSE_SHARE:
             loss += prompt.weight * _LATE_LOSS
         return loss
 
+    def _preemption(
+        self, chosen: list[_State], part_ms: float, now_ms: float
+    ) -> float:
+        """Returns the loss of prompts that helpers' parts are read ahead of.
+
+        A prompt that is read at several of the endpoints loses once.
+        """
+        losses: dict[str, float] = {}
+        for state in chosen:
+            for work in state.readers:
+                slack_ms = work.due_ms - max(now_ms, work.first_ms)
+                if slack_ms < part_ms:
+                    loss = work.weight * (_LATE_LOSS if slack_ms >= 0 else 0.1)
+                else:
+                    loss = work.weight * _SOONER * part_ms / slack_ms
+                losses[work.attempt] = max(loss, losses.get(work.attempt, 0.0))
+        return sum(losses.values())
+
     def _main_loss(self, state: _State, prompt: _types.Prompt) -> float:
         """Returns the loss of writing the answer at an endpoint."""
         loss = 0.0
@@ -520,6 +565,7 @@
         state: _State,
         main: bool,
         part_ms: float,
+        end_ms: float,
         finish_ms: float,
         now_ms: float,
     ) -> _types.Work:
@@ -529,7 +575,7 @@
             main=main,
             writing=False,
             read_ms=part_ms * state.slowness,
-            ready_ms=now_ms + self._finish_ms(state, part_ms),
+            ready_ms=now_ms + end_ms,
             first_ms=now_ms + finish_ms,
             due_ms=now_ms + prompt.target_ms,
             pause_ms=prompt.pause_ms,
--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -106,6 +106,9 @@
         cost: Predicted loss in units of requests, for the log.
         reservations: Memory to set aside before the send, the writing
             endpoint first; none where the prompt fits into one endpoint.
+        start_ms: Time to wait before the send, in ms: an engine reads the
+            newest helper's part first, so that a prompt sent earlier would
+            push back those that are being read.
     """
 
     endpoint: Endpoint
@@ -114,3 +117,4 @@
     first_event_ms: float
     cost: float
     reservations: tuple[Reservation, ...] = ()
+    start_ms: float = 0.0
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -166,7 +166,8 @@
     ) -> connections.ResponseHead:
         """Waits for the head; checks the endpoints if it is late."""
         patience_ms = self._patience_ms(job, chosen)
-        check_ms = _CHECK_FACTOR * chosen.first_event_ms + _CHECK_MARGIN_MS
+        read_ms = chosen.first_event_ms - chosen.start_ms
+        check_ms = _CHECK_FACTOR * read_ms + _CHECK_MARGIN_MS
         if not chosen.works or check_ms >= patience_ms:
             return conn.read_head(patience_ms)
         try:
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -259,6 +259,8 @@
         self.chooser.running[endpoint.id] += 1
         conn: connections.ClientConnection | None = None
         try:
+            if chosen.start_ms:
+                self.clock.sleep_ms(chosen.start_ms)
             if chosen.reservations:
                 self.reserver.reserve(ticket, chosen.reservations)
             conn = self._connect(endpoint, job)
