A stopping instance takes only what it can end

Change: streams are taken for 2.9 s, other requests while their route's time fits; later ones get 503 with when to come back. Test at the forwarder.

--- a/packages/hollycart-core/src/hollycart_core/base/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/base/__init__.py
@@ -31,6 +31,7 @@
 from hollycart_core.base._errors import RateLimitedError
 from hollycart_core.base._errors import SilentEndpointError
 from hollycart_core.base._errors import StaleConfigError
+from hollycart_core.base._errors import StoppingError
 from hollycart_core.base._errors import StoreFullError
 from hollycart_core.base._errors import UnauthorizedError
 from hollycart_core.base._errors import VersionConflictError
@@ -82,6 +83,7 @@
     "RateLimitedError",
     "SilentEndpointError",
     "StaleConfigError",
+    "StoppingError",
     "StoreFullError",
     "SystemClock",
     "UnauthorizedError",
--- a/packages/hollycart-core/src/hollycart_core/base/_errors.py
+++ b/packages/hollycart-core/src/hollycart_core/base/_errors.py
@@ -153,6 +153,13 @@
     http_status = 503
 
 
+class StoppingError(HollycartError):
+    """The instance stops before the request could be complete."""
+
+    code = "stopping"
+    http_status = 503
+
+
 class StaleConfigError(HollycartError):
     """The configuration is not proven to be recent enough to act on."""
 
--- a/packages/hollycart/src/hollycart/gateway/_admission.py
+++ b/packages/hollycart/src/hollycart/gateway/_admission.py
@@ -12,6 +12,12 @@
 from hollycart_core import routing
 
 _WAIT_DEFAULT_MS = 30000.0  # for callers that name no time
+# Time after the signal to stop in which streams are still taken: the pages
+# excuse a cut at the end only for requests sent up to then.
+_STREAMS_TAKEN_MS = 2900.0
+# Other requests are taken while this much of the grace time is left; they end
+# within their route's time.
+_ENDING_MARGIN_MS = 1500.0
 
 
 class Admission:
@@ -25,6 +31,13 @@
     def __init__(self, knowledge: _state.Knowledge, clock: base.Clock) -> None:
         self.knowledge = knowledge
         self.clock = clock
+        self._stopping_since_ms: float | None = None
+        self._grace_ms = 0.0
+
+    def start_stopping(self, grace_ms: float) -> None:
+        """Notes the signal to stop; the instance ends after `grace_ms`."""
+        self._stopping_since_ms = self.clock.now_ms()
+        self._grace_ms = grace_ms
 
     def admit(
         self, exchange: connections.Exchange, meta: _codec.RequestMeta
@@ -32,6 +45,7 @@
         """Returns the admitted request.
 
         Raises:
+            StoppingError: If the instance ends before the request would.
             StaleConfigError: If nothing recent enough is known.
             NotFoundError: If no route fits.
             UnauthorizedError: If the key is unknown.
@@ -44,6 +58,7 @@
         route = cfg.find_route(meta.host, meta.path)
         if route is None:
             raise base.NotFoundError(f"no route for {meta.host}{meta.path}")
+        self._check_stopping(route)
         team = self.authorize(cfg, route, meta)
         name = cfg.choose_service(route, _fraction(meta.request_id))
         service = cfg.services.get(name)
@@ -53,6 +68,19 @@
         deadline_ms = exchange.received_ms + min(wait_ms, route.timeout_ms)
         return _job.Job(exchange, meta, route, service, team, deadline_ms)
 
+    def _check_stopping(self, route: routing.Route) -> None:
+        if self._stopping_since_ms is None:
+            return
+        spent_ms = self.clock.now_ms() - self._stopping_since_ms
+        if route.kind is routing.RouteKind.STREAMING:
+            taken_ms = _STREAMS_TAKEN_MS
+        else:
+            taken_ms = self._grace_ms - route.timeout_ms - _ENDING_MARGIN_MS
+        if spent_ms > taken_ms:
+            raise base.StoppingError(
+                f"stopping since {spent_ms:.0f} ms", _failures.RETRY_AFTER_MS
+            )
+
     def authorize(
         self,
         cfg: routing.RoutingConfig,
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -155,6 +155,7 @@
         self.draining = True
         self.log.write(observe.decisions.Draining(self.front.running))
         self.front.drain()
+        self.forwarder.admission.start_stopping(self.cfg.grace_ms)
         end_ms = began_ms + self.cfg.grace_ms - _END_MARGIN_MS
         while self.clock.now_ms() < end_ms:
             idle = self.front.running == 0
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -238,6 +238,25 @@
     assert not [t for t, _, _ in endpoints[0].seen if t == "/stream/"]
 
 
+def test_stopping_instance_takes_only_what_it_can_end(
+    system, endpoints, answers
+):
+    system.learn()
+    script(endpoints, answers.events(1, 2))
+    admission = system.forwarder.admission
+    admission.start_stopping(8000.0)
+    assert system.call("/stream/", tokens=5000).status == 200
+    admission._stopping_since_ms -= 3000
+    late = system.call("/stream/", tokens=5000)
+    assert late.status == 503
+    assert connections.find_header(late.headers, b"retry-after")
+    script(endpoints, answers.whole)
+    assert system.call("/once/").status == 200
+    admission._stopping_since_ms -= 3000
+    assert system.call("/once/").status == 503
+    assert runs(endpoints) == 2
+
+
 def test_answers_ask_to_close_while_draining(system, endpoints, answers):
     system.learn()
     script(endpoints, answers.whole)
