Silence ends no last attempt; silent endpoints are checked first

Change: a silent endpoint is checked by connecting, left after stall_ms more, and never on the last attempt. Test: a stream that pauses 2.6 s on its last attempt.

--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -21,10 +21,10 @@
 # Silence before the first event after which an endpoint is given up although
 # it accepts connections; earlier would repeat work that only is late.
 _FIRST_EVENT_FACTOR = 4.0
-# Silence between events after which an endpoint is taken as lost, in pauses
-# that the caller accepts, and the shortest, in ms.
-_PAUSE_FACTOR = 3.0
-_MIN_SILENCE_MS = 700.0
+# Silence between events after which the endpoint is checked, in pauses that the
+# caller accepts, and the shortest, in ms.
+_PAUSE_FACTOR = 2.0
+_MIN_SILENCE_MS = 500.0
 # Part of a request's time after which an idempotent one is tried elsewhere.
 _HEDGE_SHARE = 0.55
 _FOREIGN_ANSWERS = 3  # answers to other requests that are skipped
@@ -77,9 +77,9 @@
         sent = self._encode(job, progress, chosen, ticket)
         progress.runs += 1
         conn.send(sent, job.exchange.body, _SEND_TIMEOUT_MS)
-        if job.route.repeatable and chosen.works:
+        if chosen.works and self._may_go_elsewhere(job, progress):
             self.waiting.add(ticket, chosen.works)
-        head, answer = self._read_answer(job, chosen, conn, sent)
+        head, answer = self._read_answer(job, progress, chosen, conn, sent)
         if answer.not_executed:
             progress.runs -= 1
             conn.read_body(_SEND_TIMEOUT_MS, _MAX_BODY_BYTES)
@@ -139,12 +139,13 @@
     def _read_answer(
         self,
         job: _job.Job,
+        progress: _job.Progress,
         chosen: placement.Placement,
         conn: connections.ClientConnection,
         sent: connections.RequestHead,
     ) -> tuple[connections.ResponseHead, _codec.AnswerMeta]:
         for _ in range(_FOREIGN_ANSWERS):
-            head = self._read_head(job, chosen, conn)
+            head = self._read_head(job, progress, chosen, conn)
             answer = self.codec.decode_answer(head)
             if answer.request_id == job.meta.request_id:
                 return head, answer
@@ -161,11 +162,12 @@
     def _read_head(
         self,
         job: _job.Job,
+        progress: _job.Progress,
         chosen: placement.Placement,
         conn: connections.ClientConnection,
     ) -> connections.ResponseHead:
         """Waits for the head; checks the endpoints if it is late."""
-        patience_ms = self._patience_ms(job, chosen)
+        patience_ms = self._patience_ms(job, progress, chosen)
         read_ms = chosen.first_event_ms - chosen.start_ms
         check_ms = _CHECK_FACTOR * read_ms + _CHECK_MARGIN_MS
         if not chosen.works or check_ms >= patience_ms:
@@ -177,9 +179,14 @@
                 self.monitor.suspect(work.endpoint)
         return conn.read_head(patience_ms - check_ms)
 
-    def _patience_ms(self, job: _job.Job, chosen: placement.Placement) -> float:
+    def _patience_ms(
+        self,
+        job: _job.Job,
+        progress: _job.Progress,
+        chosen: placement.Placement,
+    ) -> float:
         left_ms = job.deadline_ms - self.clock.now_ms()
-        if not job.route.repeatable:
+        if not self._may_go_elsewhere(job, progress):
             return left_ms
         if chosen.works:
             patience_ms = max(
@@ -191,6 +198,13 @@
             patience_ms = _HEDGE_SHARE * job.route.timeout_ms
         return min(left_ms, patience_ms)
 
+    def _may_go_elsewhere(self, job: _job.Job, progress: _job.Progress) -> bool:
+        """Returns whether silence may end an attempt.
+
+        The last attempt is never ended for its endpoint's silence.
+        """
+        return job.route.repeatable and progress.runs < job.route.max_attempts
+
     def _relay_stream(
         self,
         job: _job.Job,
@@ -202,19 +216,14 @@
     ) -> None:
         events = progress.events
         events.drop_partial()
-        seen = False
         while True:
-            wait_ms = job.deadline_ms - self.clock.now_ms()
-            if job.route.repeatable:
-                wait_ms = min(wait_ms, self._silence_ms(job, chosen, seen))
-            data = conn.read_data(wait_ms)
+            data = self._read_data(job, progress, chosen, conn)
             if data is None:
                 break
             whole = events.push(data)
             if events.overflowing:
                 raise base.EndpointFailedError("event too long")
             if whole:
-                seen = True
                 on_event.note()
                 self._begin(job, progress, head)
                 job.exchange.write(whole)
@@ -224,12 +233,26 @@
             job.exchange.write(rest)
         job.exchange.finish()
 
-    def _silence_ms(
-        self, job: _job.Job, chosen: placement.Placement, seen: bool
-    ) -> float:
-        if not seen:
-            return self._patience_ms(job, chosen)
-        return max(_MIN_SILENCE_MS, _PAUSE_FACTOR * job.route.max_pause_ms)
+    def _read_data(
+        self,
+        job: _job.Job,
+        progress: _job.Progress,
+        chosen: placement.Placement,
+        conn: connections.ClientConnection,
+    ) -> bytes | None:
+        """Waits for more of a stream; checks the endpoint if it is silent."""
+        left_ms = job.deadline_ms - self.clock.now_ms()
+        if not self._may_go_elsewhere(job, progress):
+            return conn.read_data(left_ms)
+        check_ms = max(_MIN_SILENCE_MS, _PAUSE_FACTOR * job.route.max_pause_ms)
+        silence_ms = min(left_ms, check_ms + self.stall_ms)
+        if check_ms >= silence_ms:
+            return conn.read_data(silence_ms)
+        try:
+            return conn.read_data(check_ms)
+        except base.SilentEndpointError:
+            self.monitor.suspect(chosen.endpoint.id)
+        return conn.read_data(silence_ms - check_ms)
 
     def _begin(
         self,
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -153,7 +153,7 @@
         """Notes the first event of an attempt."""
         job, chosen = watch.job, watch.chosen
         if chosen.works:
-            self.waiting.remove(chosen.works[0].attempt)
+            self.waiting.keep_writer(chosen.works[0].attempt, chosen.works)
             self.peers.start_writing(chosen.works[0].attempt)
         total_ms = now_ms - job.exchange.received_ms
         team = job.team.name if job.team else ""
--- a/packages/hollycart/src/hollycart/gateway/_waiting.py
+++ b/packages/hollycart/src/hollycart/gateway/_waiting.py
@@ -1,4 +1,4 @@
-"""Attempts without an event yet, by the endpoints that they depend on."""
+"""Attempts by the endpoints that they depend on."""
 
 from typing import Any
 
@@ -20,6 +20,15 @@
         endpoints = frozenset(w.endpoint for w in works)
         self._threads[attempt] = (eventlet.getcurrent(), endpoints)
 
+    def keep_writer(
+        self, attempt: str, works: tuple[placement.Work, ...]
+    ) -> None:
+        """Notes that an attempt depends only on those that write for it."""
+        found = self._threads.get(attempt)
+        if found is not None:
+            writers = [w.endpoint for w in works if w.main or w.memory_tokens]
+            self._threads[attempt] = (found[0], frozenset(writers))
+
     def remove(self, attempt: str) -> None:
         """Notes that an attempt does not wait any more."""
         self._threads.pop(attempt, None)
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -163,14 +163,14 @@
         endpoint.server.close()
 
 
-def _route(prefix, kind, **kwargs):
+def _route(prefix, kind, timeout_ms=2000, **kwargs):
     return routing.Route(
         prefix,
         "h",
         prefix,
         kind,
         (routing.RouteTarget("svc", 1.0),),
-        2000,
+        timeout_ms,
         300,
         max_pause_ms=200,
         **kwargs,
@@ -187,6 +187,7 @@
             _route(
                 "/stream/",
                 routing.RouteKind.STREAMING,
+                timeout_ms=8000,
                 max_attempts=2,
                 resumable=True,
             ),
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -1,3 +1,4 @@
+import eventlet
 import pytest
 
 from hollycart_core import base
@@ -5,6 +6,10 @@
 from hollycart_core import routing
 
 
+def seal(fields):
+    return ((b"Id", fields[b"id"].encode()), (b"Seal", b"1"))
+
+
 def runs(endpoints):
     return sum(len(e.seen) for e in endpoints)
 
@@ -134,6 +139,23 @@
     assert reply.body.startswith(b"id: 3\n")
 
 
+def test_last_attempt_is_not_ended_for_silence(system, endpoints, answers):
+    """Streams pause while an endpoint reads a long prompt."""
+    system.learn()
+
+    def pausing(exchange, fields):
+        exchange.start(200, seal(fields), None)
+        exchange.write(b"id: 1\ndata: 1\n\n")
+        eventlet.sleep(2.6)
+        exchange.write(b"id: 2\ndata: 2\n\n")
+        exchange.finish()
+
+    script(endpoints, answers.close, pausing)
+    reply = system.call("/stream/", tokens=5000, timeout_ms=8000, wait=8000)
+    assert reply.body.endswith(b"id: 2\ndata: 2\n\n")
+    assert runs(endpoints) == 2
+
+
 def test_leaving_endpoint_gets_nothing(system, endpoints, answers):
     script(endpoints, answers.whole)
     system.learn(
