--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/placement/_losses.py
@@ -0,0 +1,169 @@
+"""What a placement is predicted to cost, in answers that are not on time."""
+
+from typing import NamedTuple
+
+from hollycart_core.placement import _endpoint_state
+from hollycart_core.placement import _engine_model
+from hollycart_core.placement import _types
+
+# Part of a pause that predictions may fill; the rest covers their error.
+_PAUSE_SHARE = 0.85
+# Part of the target from which a prompt counts as partly late.
+_SAFE_SHARE = 0.5
+# Loss per use of the whole target, so that sooner is better.
+_SOONER = 0.1
+# Loss where a short answer begins to occupy an endpoint without such answers:
+# it keeps long prompts from being read there.
+_OPEN_LOSS = 0.04
+# Loss for leaving the availability zone of the instance.
+_ZONE_LOSS = 0.002
+# Part of the loss of a prompt that is late but still answered.
+_LATE_LOSS = 0.75
+# Length of a quick answer, in tokens: the mean that both users publish.
+_QUICK_ANSWER_TOKENS = 1500
+# Loss of an answer that another prompt makes late, in losses of one that is
+# late by itself: who is being answered is not disturbed lightly.
+_HARM_FACTOR = 2.0
+
+
+class QuickDemand(NamedTuple):
+    """Prompts with shorter pauses that are expected beside a long one.
+
+    Attributes:
+        per_ms: Expected arrivals in a ms.
+        pause_ms: Pause that they accept.
+        weight: Importance of one.
+    """
+
+    per_ms: float
+    pause_ms: float
+    weight: float
+
+
+def delay_loss(prompt: _types.Prompt, finish_ms: float) -> float:
+    """Returns the prompt's own loss if it is read in `finish_ms`."""
+    used = finish_ms / max(1.0, prompt.target_ms)
+    late = min(1.0, max(0.0, (used - _SAFE_SHARE) / (1.0 - _SAFE_SHARE)))
+    over = min(1.0, finish_ms / max(1.0, prompt.left_ms))
+    return prompt.weight * (
+        _LATE_LOSS * late
+        + (1.0 - _LATE_LOSS) * over
+        + _SOONER * min(used, 10.0)
+    )
+
+
+def harm_loss(
+    state: _endpoint_state.EndpointState,
+    part_ms: float,
+    prompt: _types.Prompt,
+    wait_ms: float,
+) -> float:
+    """Returns the loss of those who write where a part is read.
+
+    Args:
+        state: The endpoint.
+        part_ms: Time to read the part.
+        prompt: The prompt.
+        wait_ms: What is read in the same pass.
+    """
+    before_ms = state.pass_ms + wait_ms
+    after_ms = before_ms + part_ms * state.slowness
+    loss = 0.0
+    for work in state.writers:
+        allowed_ms = work.pause_ms * _PAUSE_SHARE
+        if before_ms <= allowed_ms < after_ms:
+            loss += work.weight * _LATE_LOSS * _HARM_FACTOR
+    # A pass that is too long for the prompt's own events.
+    if state.pass_ms > prompt.pause_ms * _PAUSE_SHARE:
+        loss += prompt.weight * _LATE_LOSS
+    return loss
+
+
+def preemption_loss(
+    chosen: list[_endpoint_state.EndpointState],
+    part_ms: float,
+    now_ms: float,
+) -> float:
+    """Returns the loss of prompts that helpers' parts are read ahead of.
+
+    A prompt that is read at several of the endpoints loses once.
+    """
+    losses: dict[str, float] = {}
+    for state in chosen:
+        for work in state.readers:
+            slack_ms = work.due_ms - max(now_ms, work.first_ms)
+            if slack_ms < part_ms:
+                loss = work.weight * (_LATE_LOSS if slack_ms >= 0 else 0.1)
+            else:
+                loss = work.weight * _SOONER * part_ms / slack_ms
+            losses[work.attempt] = max(loss, losses.get(work.attempt, 0.0))
+    return sum(losses.values())
+
+
+def main_loss(
+    state: _endpoint_state.EndpointState, prompt: _types.Prompt
+) -> float:
+    """Returns the loss of writing the answer at an endpoint."""
+    loss = 0.0
+    if prompt.zone and state.endpoint.zone != prompt.zone:
+        loss += _ZONE_LOSS
+    alike = any(w.pause_ms <= prompt.pause_ms for w in state.writers)
+    alike = alike or any(
+        w.main and w.pause_ms <= prompt.pause_ms for w in state.readers
+    )
+    if not alike:
+        loss += _OPEN_LOSS
+    return loss
+
+
+def quick_demand(
+    prompt: _types.Prompt,
+    model: _engine_model.EngineModel,
+    states: list[_endpoint_state.EndpointState],
+) -> QuickDemand | None:
+    """Returns what is expected of prompts with shorter pauses."""
+    quick = [
+        w
+        for s in states
+        for w in (*s.writers, *s.readers)
+        if w.main and w.pause_ms < prompt.pause_ms
+    ]
+    if not quick:
+        return None
+    # In a steady state as many come as end in the time of an answer.
+    answer_ms = model.write_ms(_QUICK_ANSWER_TOKENS)
+    return QuickDemand(
+        (len(quick) + 1) / answer_ms,
+        min(w.pause_ms for w in quick),
+        sum(w.weight for w in quick) / len(quick),
+    )
+
+
+def crowding_loss(
+    demand: QuickDemand | None,
+    states: list[_endpoint_state.EndpointState],
+    main: _endpoint_state.EndpointState,
+    chosen: list[_endpoint_state.EndpointState],
+    part_ms: float,
+) -> float:
+    """Returns the loss of quick prompts that find no endpoint free."""
+    if demand is None:
+        return 0.0
+    allowed_ms = demand.pause_ms * _PAUSE_SHARE
+    taken = {s.endpoint.id for s in chosen}
+    taken.add(main.endpoint.id)
+    free = 0
+    blocked_ms = 0.0
+    for state in states:
+        before_ms = state.pass_ms + state.wait_ms
+        if state.endpoint.id not in taken:
+            if before_ms < allowed_ms:
+                free += max(0, state.slots_free)
+        elif before_ms + part_ms > allowed_ms:
+            blocked_ms = max(blocked_ms, state.wait_ms + part_ms)
+        else:
+            free += max(0, state.slots_free)
+    missing = max(0.0, demand.per_ms * blocked_ms + 1.0 - free)
+    if not blocked_ms:
+        return 0.0
+    return missing * demand.weight * _LATE_LOSS
