Placement: a prompt that is late anyway leaves endpoints to others

Three parts: its loss went on falling the sooner it was late; the crowding loss counted slots as taken for as long as the prompt reads (9.6 s on 5 engines), although an answer gives its slot back after 1.8 s; and it was planned up to its deadline, although callers leave a stream after four targets without an event.

Ruled out: memory (three engines hold the prompt), preemption of other reads (the same for any number of engines).

--- a/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
@@ -68,6 +68,20 @@
     assert virtual.share_on_time(outcomes, "short") >= 0.9
 
 
+def test_short_prompts_that_follow_a_late_one_are_on_time():
+    """A prompt over all targets just before many short ones."""
+    phases = [(3.0, {"short": 0.35}), (9.0, {"short": 2.0})]
+    arrivals = virtual.draw_arrivals((SHORT,), phases, random.Random(4))
+    # Callers leave a stream without an event after four times its target.
+    kind = LONG._replace(wait_ms=12000)
+    arrivals.append(virtual.Arrival(1500.0, kind, 984000, 800))
+    arrivals.sort(key=lambda a: a.at_ms)
+    outcomes = virtual.play(arrivals, PARAMETERS, ENGINES)
+    long = [o for o in outcomes if o.arrival.kind is kind]
+    assert long[0].first_ms <= 12000.0
+    assert virtual.share_on_time(outcomes, "short") >= 0.9
+
+
 def test_overload_refuses_nobody_for_good_and_short_ones_go_on():
     """Twice the short prompts that the engines have slots for."""
     crowd = SHORT._replace(per_s=120.0)
--- a/packages/hollycart-core/src/hollycart_core/placement/_losses.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_losses.py
@@ -12,6 +12,15 @@
 _SAFE_SHARE = 0.5
 # Loss per use of the whole target, so that sooner is better.
 _SOONER = 0.1
+# Targets after which a delay counts no more.
+_MAX_TARGETS = 10.0
+# Part of the time until the caller gives up from which a prompt counts as
+# partly lost: predictions of long readings are that exact.
+_SURE_SHARE = 0.8
+# Loss for each helper that a late prompt keeps from others: as much as one
+# short answer that is late, and the time from which it counts in full, in ms.
+_OCCUPIED_LOSS = 0.75
+_OCCUPIED_MS = 1000.0
 # Loss where a short answer begins to occupy an endpoint without such answers:
 # it keeps long prompts from being read there.
 _OPEN_LOSS = 0.04
@@ -31,11 +40,13 @@
 
     Attributes:
         per_ms: Expected arrivals in a ms.
+        answer_ms: Time for which one occupies a slot.
         pause_ms: Pause that they accept.
         weight: Importance of one.
     """
 
     per_ms: float
+    answer_ms: float
     pause_ms: float
     weight: float
 
@@ -44,14 +55,41 @@
     """Returns the prompt's own loss if it is read in `finish_ms`."""
     used = finish_ms / max(1.0, prompt.target_ms)
     late = min(1.0, max(0.0, (used - _SAFE_SHARE) / (1.0 - _SAFE_SHARE)))
-    over = min(1.0, finish_ms / max(1.0, prompt.left_ms))
-    return prompt.weight * (
-        _LATE_LOSS * late
-        + (1.0 - _LATE_LOSS) * over
-        + _SOONER * min(used, 10.0)
+    left = finish_ms / max(1.0, prompt.left_ms)
+    lost = min(1.0, max(0.0, (left - _SURE_SHARE) / (1.0 - _SURE_SHARE)))
+    # A late answer is worth the same until the caller gives up: how late it is
+    # counts like a short prompt's delay, whatever its length.
+    later = min(used, _MAX_TARGETS) - min(used, 1.0)
+    return (
+        prompt.weight
+        * (
+            _LATE_LOSS * late
+            + (1.0 - _LATE_LOSS) * lost
+            + _SOONER * min(used, 1.0)
+        )
+        + _SOONER * later
     )
 
 
+def occupation_loss(
+    prompt: _types.Prompt, finish_ms: float, part_ms: float, helpers: int
+) -> float:
+    """Returns the loss of keeping helpers from prompts that are urgent.
+
+    A prompt that is on time is worth what it takes; one that is late in any
+    case leaves as many endpoints as it can.
+
+    Args:
+        prompt: The prompt.
+        finish_ms: When it is read.
+        part_ms: Time to read its part at each endpoint.
+        helpers: Number of endpoints besides the one that writes.
+    """
+    if finish_ms <= prompt.target_ms:
+        return 0.0
+    return _OCCUPIED_LOSS * helpers * min(1.0, part_ms / _OCCUPIED_MS)
+
+
 def harm_loss(
     state: _endpoint_state.EndpointState,
     part_ms: float,
@@ -134,6 +172,7 @@
     answer_ms = model.write_ms(_QUICK_ANSWER_TOKENS)
     return QuickDemand(
         (len(quick) + 1) / answer_ms,
+        answer_ms,
         min(w.pause_ms for w in quick),
         sum(w.weight for w in quick) / len(quick),
     )
@@ -150,20 +189,22 @@
     if demand is None:
         return 0.0
     allowed_ms = demand.pause_ms * _PAUSE_SHARE
-    taken = {s.endpoint.id for s in chosen}
-    taken.add(main.endpoint.id)
+    used = {s.endpoint.id for s in chosen}
+    used.add(main.endpoint.id)
     free = 0
     blocked_ms = 0.0
     for state in states:
         before_ms = state.pass_ms + state.wait_ms
-        if state.endpoint.id not in taken:
+        if state.endpoint.id not in used:
             if before_ms < allowed_ms:
                 free += max(0, state.slots_free)
         elif before_ms + part_ms > allowed_ms:
             blocked_ms = max(blocked_ms, state.wait_ms + part_ms)
         else:
             free += max(0, state.slots_free)
-    missing = max(0.0, demand.per_ms * blocked_ms + 1.0 - free)
+    # After the time of an answer as many slots are given back as are taken.
+    taken_ms = min(blocked_ms, demand.answer_ms)
+    missing = max(0.0, demand.per_ms * taken_ms + 1.0 - free)
     if not blocked_ms:
         return 0.0
     return missing * demand.weight * _LATE_LOSS
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -10,7 +10,7 @@
 from hollycart_core.placement import _types
 
 # Numbers of endpoints that are tried for one prompt.
-_SHARE_COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
+_SHARE_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 # Loss per helper: its connections and the smallest step.
 _HELPER_LOSS = 0.004
 # Part of an endpoint's memory that predictions may fill.
@@ -205,6 +205,7 @@
         cost = (
             _losses.delay_loss(prompt, finish_ms)
             + _losses.main_loss(main, prompt)
+            + _losses.occupation_loss(prompt, finish_ms, part_ms, len(chosen))
             + _HELPER_LOSS * len(chosen)
         )
         for state in everyone:
--- a/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
@@ -75,6 +75,18 @@
     )
 
 
+@pytest.mark.parametrize("writing", [0, 20])
+def test_prompt_that_is_late_anyway_leaves_endpoints_to_others(
+    writing, placer, model, endpoints, write, short_prompt, long_prompt
+):
+    """Seen on a played day: eight of 14 endpoints were taken for 6 s."""
+    write([short_prompt(f"s{i}") for i in range(writing)])
+    prompt = long_prompt("l", 984000)._replace(left_ms=12000)
+    chosen = placer.choose(prompt, model, endpoints, 0.0)
+    assert len(chosen.works) <= 6
+    assert chosen.first_event_ms <= 11000
+
+
 def test_full_endpoint_is_avoided(
     placer, model, endpoints, write, short_prompt
 ):
--- a/packages/hollycart-core/src/hollycart_core/routing/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/routing/_types.py
@@ -32,6 +32,8 @@
         target_ms: Time to the first byte that callers expect, in ms.
         max_pause_ms: Longest pause between events of a stream, in ms; 0 for
             other kinds.
+        patience_ms: Time without an event after which callers leave a
+            stream, in ms.
         max_attempts: Endpoints that one request may run on.
         priority: Rank, 0 is the most urgent.
         public: Whether requests need no API key.
@@ -46,6 +48,7 @@
     timeout_ms: float
     target_ms: float
     max_pause_ms: float = 0.0
+    patience_ms: float = float("inf")
     max_attempts: int = 1
     priority: int = 1
     public: bool = False
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -38,7 +38,11 @@
         self._models: dict[routing.EngineParameters, placement.EngineModel] = {}
 
     def choose(
-        self, job: _job.Job, excluded: set[str], attempt: str, now_ms: float
+        self,
+        job: _job.Job,
+        progress: _job.Progress,
+        attempt: str,
+        now_ms: float,
     ) -> placement.Placement:
         """Returns where an attempt goes.
 
@@ -46,18 +50,22 @@
             NoEndpointError: If the service has no endpoint left.
             MemoryUnavailableError: If the prompt finds no memory now.
         """
-        candidates = self._candidates(job.service.name, excluded, now_ms)
+        candidates = self._candidates(
+            job.service.name, progress.excluded, now_ms
+        )
         if job.service.engine is None or not job.meta.prompt_tokens:
             endpoint = placement.least_busy(candidates, self.running, self.zone)
             assert endpoint is not None
             return placement.Placement(endpoint, (), (), 0.0, 0.0)
         spent_ms = now_ms - job.exchange.received_ms
+        heard_ms = progress.last_event_ms or job.exchange.received_ms
+        leaves_ms = min(job.deadline_ms, heard_ms + job.route.patience_ms)
         prompt = placement.Prompt(
             attempt,
             job.meta.prompt_tokens,
             job.meta.output_tokens,
             job.route.target_ms - spent_ms,
-            job.deadline_ms - now_ms,
+            leaves_ms - now_ms,
             job.route.max_pause_ms,
             self.zone,
         )
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -47,6 +47,7 @@
     def note(self) -> None:
         """Notes one event."""
         now_ms = self.forwarder.clock.now_ms()
+        self.progress.last_event_ms = now_ms
         last_ms, self._last_ms = self._last_ms, now_ms
         if last_ms is None:
             self.forwarder.note_first_event(self, now_ms)
@@ -251,7 +252,7 @@
         if job.deadline_ms - now_ms < _attempt.MIN_LEFT_MS:
             raise base.DeadlineExceededError("no time left")
         ticket = f"{self.peers.boot:x}.{next(self._ids)}"
-        chosen = self.chooser.choose(job, progress.excluded, ticket, now_ms)
+        chosen = self.chooser.choose(job, progress, ticket, now_ms)
         self._note_placement(job, chosen, ticket, now_ms)
         endpoint = chosen.endpoint
         if chosen.works:
--- a/packages/hollycart/src/hollycart/gateway/_job.py
+++ b/packages/hollycart/src/hollycart/gateway/_job.py
@@ -39,6 +39,7 @@
         events: Events of the stream.
         excluded: Endpoints that are not tried again.
         longest_pause_ms: Longest pause between events.
+        last_event_ms: Instant of the last event; None before the first.
         answered_by: Endpoint whose answer is passed on.
     """
 
@@ -51,5 +52,6 @@
         self.events.last_id = last_event_id
         self.excluded: set[str] = set()
         self.longest_pause_ms = 0.0
+        self.last_event_ms: float | None = None
         self.answered_by = ""
         self.status = 0
