Placement: what cannot be read and written in time is refused at once

Change: the time that a caller leaves for the first event is the shorter of its patience and its time limit less the time of writing. A prompt that is predicted to be read later is refused before anything is sent (503, with the time after which the queue of now is worked off); never one of which an attempt may have run.

--- a/packages/hollycart-bench/src/hollycart_bench/virtual/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/_engine.py
@@ -86,6 +86,7 @@
         self._parts = [self._parts[i] for i in keep]
         self._writers = [w for w in self._writers if w.prompt != prompt]
         self._begun = [w for w in self._begun if w.prompt != prompt]
+        self._queue = [p for p in self._queue if p.prompt != prompt]
 
     def run_pass(self) -> tuple[float, PassResult]:
         """Runs one pass; returns its time in ms and what it has done."""
--- a/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
@@ -82,6 +82,28 @@
     assert virtual.share_on_time(outcomes, "short") >= 0.9
 
 
+def test_prompt_without_time_to_be_read_is_refused_and_disturbs_nobody():
+    """It comes again in a crowd, with too little time left."""
+    phases = [(2.0, {"short": 1.0}), (8.0, {"short": 2.4})]
+    arrivals = virtual.draw_arrivals((SHORT,), phases, random.Random(4))
+    kind = LONG._replace(wait_ms=9500)
+    arrivals.append(virtual.Arrival(4000.0, kind, 984000, 800))
+    arrivals.sort(key=lambda a: a.at_ms)
+    outcomes = virtual.play(arrivals, PARAMETERS, ENGINES)
+    long = [o for o in outcomes if o.arrival.kind is kind]
+    assert long[0].refused or long[0].complete
+    assert virtual.share_on_time(outcomes, "short") >= 0.9
+
+
+def test_callers_are_told_before_they_leave():
+    """More short prompts than there are slots; callers leave after 2 s."""
+    crowd = SHORT._replace(per_s=70.0, patience_ms=2000.0)
+    arrivals = virtual.draw_arrivals((crowd,), [(9.0, {})], random.Random(4))
+    outcomes = virtual.play(arrivals, PARAMETERS, ENGINES)
+    told = [o for o in outcomes if o.complete or o.refused]
+    assert len(told) >= 0.98 * len(outcomes)
+
+
 def test_overload_refuses_nobody_for_good_and_short_ones_go_on():
     """Twice the short prompts that the engines have slots for."""
     crowd = SHORT._replace(per_s=120.0)
--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -50,6 +50,9 @@
         return 1.0 + min(self.tokens, WEIGHT_MAX_TOKENS) / WEIGHT_TOKENS
 
 
+# A refused caller comes back after this time at least, in ms: the mean time in
+# which an engine of eight slots ends an answer.
+MIN_COME_BACK_MS = 250.0
 # Prompt length that doubles the importance, close to the mean prompt that both
 # users publish (13,000 tokens): long work counts by size, but not short work
 # by its number alone.
@@ -121,3 +124,23 @@
     cost: float
     reservations: tuple[Reservation, ...] = ()
     start_ms: float = 0.0
+
+    def come_back_ms(self, prompt: Prompt) -> float | None:
+        """Returns when a caller that cannot be served should come back.
+
+        Args:
+            prompt: The prompt that was placed.
+
+        Returns:
+            Time in ms; None if the first event comes before the caller leaves.
+
+        Example:
+            >>> prompt = Prompt("a", 5000, 1500, 300.0, 2000.0, 200.0)
+            >>> chosen = Placement(Endpoint("e", "", "", "", 8), (), (), 0, 0)
+            >>> chosen._replace(first_event_ms=1999.0).come_back_ms(prompt)
+            >>> chosen._replace(first_event_ms=2500.0).come_back_ms(prompt)
+            2200.0
+        """
+        if self.first_event_ms <= prompt.left_ms:
+            return None
+        return max(MIN_COME_BACK_MS, self.first_event_ms - prompt.target_ms)
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -48,6 +48,7 @@
 
         Raises:
             NoEndpointError: If the service has no endpoint left.
+            OverloadedError: If the caller would leave before the first event.
             MemoryUnavailableError: If the prompt finds no memory now.
         """
         candidates = self._candidates(
@@ -59,7 +60,11 @@
             return placement.Placement(endpoint, (), (), 0.0, 0.0)
         spent_ms = now_ms - job.exchange.received_ms
         heard_ms = progress.last_event_ms or job.exchange.received_ms
-        leaves_ms = min(job.deadline_ms, heard_ms + job.route.patience_ms)
+        model = self.model(job.service.engine)
+        write_ms = model.write_ms(job.meta.output_tokens)
+        leaves_ms = min(
+            job.deadline_ms - write_ms, heard_ms + job.route.patience_ms
+        )
         prompt = placement.Prompt(
             attempt,
             job.meta.prompt_tokens,
@@ -69,13 +74,18 @@
             job.route.max_pause_ms,
             self.zone,
         )
-        chosen = self.placer.choose(
-            prompt, self.model(job.service.engine), candidates, now_ms
-        )
+        chosen = self.placer.choose(prompt, model, candidates, now_ms)
         if chosen is None:
             raise _failures.MemoryUnavailableError(
                 "no memory free", _failures.RETRY_AFTER_MS
             )
+        come_back_ms = chosen.come_back_ms(prompt)
+        if come_back_ms is not None and not progress.may_have_run:
+            raise base.OverloadedError(
+                f"first event in {chosen.first_event_ms:.0f} ms, "
+                f"caller leaves in {prompt.left_ms:.0f} ms",
+                come_back_ms,
+            )
         return chosen
 
     def model(
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -190,6 +190,7 @@
                     raise _final(exc, progress) from exc
             except (
                 base.NoEndpointError,
+                base.OverloadedError,
                 base.StaleConfigError,
                 base.UnauthorizedError,
             ) as exc:
