Engine stand-in: a reservation evicts the prefix cache

The invariant error left the reservation refused on each engine whose cache was full, six attempts in a row. So the failure needs earlier traffic at the engines, not load on the machine.

Change: the cache gives way, as it does when a sequence is admitted.

--- a/packages/hollycart-bench/src/hollycart_bench/engine/_batcher.py
+++ b/packages/hollycart-bench/src/hollycart_bench/engine/_batcher.py
@@ -68,6 +68,7 @@
         if sequence.memory > free or not self.add(sequence):
             return False
         sequence.state = _State.RESERVED
+        self.cache.shrink(self.capacity_tokens - self.held_tokens)
         self._check_memory()
         return True
 
