Directory: an answer from before a pause proves nothing

A process that is frozen between the list's answer and taking it over acts on what was true before. A read that failed because it was frozen counted as a try made just now, too.

Test: both cases with a manual clock, failed before; an unreachable list is still not asked by every request.

--- a/packages/hollycart/src/hollycart/entry/_directory.py
+++ b/packages/hollycart/src/hollycart/entry/_directory.py
@@ -58,14 +58,20 @@
             self._read()
 
     def _read(self) -> None:
+        began_ms = self.clock.now_ms()
         try:
             found = self.source.read()
         except base.HollycartError:
             self.metrics.count("list.failed")
-            self._tried_ms = self.clock.now_ms()
+            now_ms = self.clock.now_ms()
+            # A read that took longer than its timeout was paused: what is
+            # known may be older than any outage allows.
+            paused = now_ms - began_ms > _STALE_MS
+            self._tried_ms = began_ms if paused else now_ms
             return
         now_ms = self.clock.now_ms()
-        self._tried_ms = now_ms
+        # The answer may have waited here while the process was paused.
+        self._tried_ms = began_ms
         if found is not None:
             self.entries = {e.entry_id: e for e in found.entries}
             self.loaded = True
--- a/packages/hollycart/src/hollycart/entry/tests/test_directory.py
+++ b/packages/hollycart/src/hollycart/entry/tests/test_directory.py
@@ -1,6 +1,7 @@
 import random
 
 import eventlet
+import pytest
 
 from hollycart import observe
 from hollycart import peers
@@ -41,21 +42,85 @@
         return peers.ExchangeMessage("b", (digest,))
 
 
-def test_cut_halves_find_each_other_again():
+class PausedSource:
+    """Answers, but the process is paused before it takes the answer."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.leaving = False
+        self.paused_ms = 0.0
+        self.failing = False
+
+    def read(self):
+        entry = membership.ListEntry(
+            "e", "engine", "h:3", cell="c", leaving=self.leaving
+        )
+        paused_ms, self.paused_ms = self.paused_ms, 0.0
+        self.clock.sleep_ms(paused_ms)
+        if self.failing:
+            raise base.EndpointFailedError("no answer")
+        return membership.InstanceList(1, (entry,))
+
+
+@pytest.fixture
+def clock():
+    return base.ManualClock()
+
+
+@pytest.fixture
+def make_directory(clock):
+    def make(source, client):
+        own = membership.ListEntry("a", "instance", "h:1", cell="c")
+        return _directory.Directory(
+            source,
+            membership.MembershipView(own, incarnation=1),
+            client,
+            clock,
+            observe.Metrics(),
+            random.Random(1),
+            lambda: None,
+        )
+
+    return make
+
+
+@pytest.mark.parametrize("failing", [False, True])
+def test_answer_from_before_a_pause_proves_nothing(
+    failing, clock, make_directory
+):
+    """The list was read before the pause; the engine left meanwhile."""
+    source = PausedSource(clock)
+    directory = make_directory(source, FakePeers())
+    directory.refresh()
+    assert directory.accepts_work("e")
+    source.paused_ms = 3000.0
+    source.failing = failing
+    directory.refresh()
+    source.leaving = True
+    source.failing = False
+    assert not directory.accepts_work("e")
+
+
+def test_list_that_does_not_answer_is_not_asked_by_every_request(
+    clock, make_directory
+):
+    source = PausedSource(clock)
+    directory = make_directory(source, FakePeers())
+    directory.refresh()
+    clock.sleep_ms(2000.0)
+    source.failing = True
+    source.paused_ms = 800.0  # a timeout, not a pause
+    assert directory.accepts_work("e")
+    source.leaving = True
+    source.failing = False
+    assert directory.accepts_work("e")
+
+
+def test_cut_halves_find_each_other_again(clock, make_directory):
     """Nobody on either side has heard of the other for a long time."""
-    clock = base.ManualClock()
-    own = membership.ListEntry("a", "instance", "h:1", cell="c")
-    view = membership.MembershipView(own, incarnation=1)
     client = FakePeers()
-    directory = _directory.Directory(
-        FakeSource(),
-        view,
-        client,
-        clock,
-        observe.Metrics(),
-        random.Random(1),
-        lambda: None,
-    )
+    directory = make_directory(FakeSource(), client)
+    view = directory.view
     directory.refresh()
     clock.sleep_ms(60_000.0)
     assert view.live(clock.now_ms()) == ["a"]
