Reader: one bound on freshness, intervals from the platform's bounds

Found by reading: Knowledge.freshness_ms repeated Freshness.max_age_ms and kept its first value after a reload; config_apply_ms, drain_ms and hold_max_ms were read and used nowhere, so that a platform with shorter bounds than 2 s would have been served with reads every 0.5 s. Intervals now shrink with the shortest bound, reservations with the longest hold. Placer: the order of endpoints stands once, expected quick prompts are worked out once.

--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -13,11 +13,14 @@
 _SHARE_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 # Loss per helper: its connections and the smallest step.
 _HELPER_LOSS = 0.004
+# Loss, for the order of endpoints only, where no slot is free.
+_FULL_LOSS = 1.0
 # Part of an endpoint's memory that predictions may fill.
 _MEMORY_SHARE = 0.96
 # Bounds on the time of one decision: endpoints that are looked at closely, and
 # numbers of shares tried without a gain.
 _MAX_MAINS = 10
+_MAX_CLOSE_MAINS = 3
 _MAX_HELPERS = 24
 _MAX_WORSE = 3
 # Parts below this time are not divided further: a step takes one ms.
@@ -75,30 +78,17 @@
         ]
         mains = [s for s in states if self._fits(s, prompt, model)]
         helpers = [s for s in states if s.helping < s.endpoint.slots]
+        demand = _losses.quick_demand(prompt, model, states)
         if not mains:
-            demand = _losses.quick_demand(prompt, model, states)
             return self._with_reservations(
                 prompt, model, helpers, now_ms, demand
             )
-        demand = _losses.quick_demand(prompt, model, states)
         rough_ms = model.read_ms(prompt.tokens, _ROUGH_SHARES)
 
-        def rough_loss(state: _endpoint_state.EndpointState) -> float:
-            return _losses.harm_loss(
-                state, rough_ms, prompt, state.wait_ms
-            ) + _losses.delay_loss(prompt, state.finish_ms(rough_ms))
-
         if len(helpers) > _MAX_HELPERS:
-            helpers = sorted(helpers, key=rough_loss)[:_MAX_HELPERS]
+            helpers = _rank(prompt, helpers, rough_ms)[:_MAX_HELPERS]
         if len(mains) > _MAX_MAINS:
-            mains = sorted(
-                mains,
-                key=lambda s: (
-                    rough_loss(s)
-                    + _losses.main_loss(s, prompt)
-                    + (0.0 if s.slots_free > 0 else 1.0)
-                ),
-            )[:_MAX_MAINS]
+            mains = _rank_mains(prompt, mains, rough_ms)[:_MAX_MAINS]
         best: _types.Placement | None = None
         worse = 0
         for count in _SHARE_COUNTS:
@@ -150,15 +140,9 @@
         part_ms = model.read_ms(prompt.tokens, count)
         ranked: list[_endpoint_state.EndpointState] = []
         if count > 1:
-            ranked = sorted(
-                helpers,
-                key=lambda s: (
-                    _losses.harm_loss(s, part_ms, prompt, s.wait_ms)
-                    + _losses.delay_loss(prompt, s.finish_ms(part_ms))
-                ),
-            )
+            ranked = _rank(prompt, helpers, part_ms)
         best: _types.Placement | None = None
-        for main in self._main_candidates(prompt, mains, part_ms):
+        for main in _rank_mains(prompt, mains, part_ms)[:_MAX_CLOSE_MAINS]:
             others = [s for s in ranked if s.endpoint != main.endpoint]
             chosen = others[: count - 1]
             if len(chosen) < count - 1:
@@ -313,24 +297,6 @@
             ),
         )
 
-    def _main_candidates(
-        self,
-        prompt: _types.Prompt,
-        mains: list[_endpoint_state.EndpointState],
-        part_ms: float,
-    ) -> list[_endpoint_state.EndpointState]:
-        """Returns the few mains that are worth a full evaluation."""
-
-        def loss(state: _endpoint_state.EndpointState) -> float:
-            return (
-                _losses.harm_loss(state, part_ms, prompt, state.wait_ms)
-                + _losses.delay_loss(prompt, state.finish_ms(part_ms))
-                + _losses.main_loss(state, prompt)
-                + (0.0 if state.slots_free > 0 else 1.0)
-            )
-
-        return sorted(mains, key=loss)[:3]
-
     def _fits(
         self,
         state: _endpoint_state.EndpointState,
@@ -376,3 +342,40 @@
             memory_tokens=prompt.tokens + prompt.output_tokens if main else 0,
             weight=prompt.weight,
         )
+
+
+def _loss_of_part(
+    prompt: _types.Prompt,
+    state: _endpoint_state.EndpointState,
+    part_ms: float,
+) -> float:
+    """Returns the loss if a part is read at an endpoint behind what waits."""
+    return _losses.harm_loss(
+        state, part_ms, prompt, state.wait_ms
+    ) + _losses.delay_loss(prompt, state.finish_ms(part_ms))
+
+
+def _rank(
+    prompt: _types.Prompt,
+    states: list[_endpoint_state.EndpointState],
+    part_ms: float,
+) -> list[_endpoint_state.EndpointState]:
+    """Returns endpoints by what is lost if they read a part, best first."""
+    return sorted(states, key=lambda s: _loss_of_part(prompt, s, part_ms))
+
+
+def _rank_mains(
+    prompt: _types.Prompt,
+    states: list[_endpoint_state.EndpointState],
+    part_ms: float,
+) -> list[_endpoint_state.EndpointState]:
+    """Returns endpoints by what is lost if they write the answer, too."""
+
+    def loss(state: _endpoint_state.EndpointState) -> float:
+        return (
+            _loss_of_part(prompt, state, part_ms)
+            + _losses.main_loss(state, prompt)
+            + (0.0 if state.slots_free > 0 else _FULL_LOSS)
+        )
+
+    return sorted(states, key=loss)
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -76,6 +76,7 @@
         clock: Source of time.
         zone: Availability zone of this instance.
         stall_ms: Time for which an engine waits for a lost one, in ms.
+        hold_max_ms: Longest reservation of memory, in ms.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         clock: base.Clock,
         zone: str,
         stall_ms: float,
+        hold_max_ms: float,
     ) -> None:
         self.codec = codec
         self.knowledge = knowledge
@@ -104,7 +106,7 @@
         self.zone = zone
         self.stall_ms = stall_ms
         self.pool = connections.ConnectionPool(clock)
-        self.reserver = _reserver.Reserver(codec, clock)
+        self.reserver = _reserver.Reserver(codec, clock, hold_max_ms)
         self.waiting = _waiting.WaitingAttempts()
         self.monitor = _monitor.EndpointMonitor(
             knowledge, health, clock, log, self.waiting.end, peers.tell_suspect
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -10,6 +10,7 @@
 from hollycart.gateway import _codec
 from hollycart.gateway import _forwarder
 from hollycart.gateway import _peers
+from hollycart.gateway import _read_times
 from hollycart.gateway import _reader
 from hollycart.gateway import _settings
 from hollycart.gateway import _state
@@ -81,6 +82,7 @@
             clock,
             self.rng,
             cfg.peer_port,
+            _times(cfg),
         )
         view = placement.LoadView()
         health = placement.EndpointHealth()
@@ -113,6 +115,7 @@
             clock,
             cfg.zone,
             cfg.stall_ms,
+            cfg.hold_max_ms,
         )
         self.front = connections.FrontServer(
             cfg.front_address, self.forwarder.handle, clock
@@ -187,6 +190,7 @@
         self.cfg = cfg._replace(**kept)
         self.peers.set_addresses(set(cfg.seed_ips))
         self.knowledge.freshness.max_age_ms = cfg.revoke_ms - _REVOKE_MARGIN_MS
+        self.reader.times = _times(cfg)
         budget = self.forwarder.budget
         budget.ratio = cfg.retry_ratio
         budget.window_ms = cfg.retry_window_ms
@@ -272,3 +276,7 @@
             except base.HollycartError as exc:
                 logging.info("record not renewed: %s", exc.detail)
             self.clock.sleep_ms(_RENEW_MS * (0.8 + 0.4 * self.rng.random()))
+
+
+def _times(cfg: _settings.GatewaySettings) -> _read_times.ReadTimes:
+    return _read_times.ReadTimes.within(min(cfg.config_apply_ms, cfg.drain_ms))
--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -12,6 +12,7 @@
 from hollycart import observe
 from hollycart.gateway import _messages
 from hollycart.gateway import _peers
+from hollycart.gateway import _read_times
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import connections
@@ -22,13 +23,6 @@
 # delays nobody.
 _READERS = 2
 _TICK_MS = 50.0
-# Reads and questions; four fit into the shortest bound of the pages (2 s).
-_READ_INTERVAL_MS = 500.0
-_ASK_INTERVAL_MS = 400.0
-# Age of the proof from which an instance reads the store itself.
-_SELF_READ_MS = 1200.0
-# Age of the last own success from which an instance is no reader.
-_FAILING_MS = 1600.0
 _FETCH_TIMEOUT_MS = 400.0
 _MAX_STATE_BYTES = 16 << 20
 _MAX_READS_AT_ONCE = 2
@@ -59,6 +53,7 @@
         clock: Source of time.
         rng: Source of randomness.
         peer_port: TCP port on which peers pass on their state.
+        times: How often the state is read.
 
     Attributes:
         on_change: Called after a new state was taken over.
@@ -74,6 +69,7 @@
         clock: base.Clock,
         rng: random.Random,
         peer_port: int,
+        times: _read_times.ReadTimes,
     ) -> None:
         self.name = name
         self.store = store
@@ -83,6 +79,7 @@
         self.clock = clock
         self.rng = rng
         self.peer_port = peer_port
+        self.times = times
         self.on_change: Callable[[], None] = lambda: None
         self.reads_ok = 0
         self.reads_failed = 0
@@ -109,20 +106,22 @@
 
     def reads_store(self) -> bool:
         """Returns whether this instance reads the store successfully."""
-        return self.clock.now_ms() - self._last_success_ms < _FAILING_MS
+        return (
+            self.clock.now_ms() - self._last_success_ms < self.times.failing_ms
+        )
 
     def answer(self, question: _messages.Ask) -> _messages.Vouch | None:
         """Returns the proof held here, None without a state."""
         known = self.knowledge.snapshot
         if known is None:
             return None
-        age_ms = self.knowledge.freshness.age_ms(self.clock.now_ms())
-        if age_ms > self.knowledge.freshness_ms:
+        now_ms = self.clock.now_ms()
+        if not self.knowledge.freshness.holds(now_ms):
             return None
         return _messages.Vouch(
             self.name,
             question.stamp_ms,
-            round(age_ms, 1),
+            round(self.knowledge.freshness.age_ms(now_ms), 1),
             known.revision,
             known.config_revision,
             known.digest,
@@ -157,12 +156,12 @@
             now_ms = self.clock.now_ms()
             self.knowledge.expire(now_ms)
             self._note_freshness(now_ms)
-            due = now_ms - self._last_read_ms >= _READ_INTERVAL_MS
+            due = now_ms - self._last_read_ms >= self.times.read_ms
             if due and self._should_read(now_ms):
                 self._last_read_ms = now_ms
                 if self._reading < _MAX_READS_AT_ONCE:
                     eventlet.spawn_n(self._read)
-            if now_ms - self._last_ask_ms >= _ASK_INTERVAL_MS:
+            if now_ms - self._last_ask_ms >= self.times.ask_ms:
                 self._last_ask_ms = now_ms
                 self._ask(now_ms)
             self.clock.sleep_ms(_TICK_MS * (0.8 + 0.4 * self.rng.random()))
@@ -182,7 +181,7 @@
 
     def _should_read(self, now_ms: float) -> bool:
         age_ms = self.knowledge.freshness.age_ms(now_ms)
-        return age_ms > _SELF_READ_MS or self.name in self._readers()
+        return age_ms > self.times.self_read_ms or self.name in self._readers()
 
     def _readers(self) -> list[str]:
         assert self._peers is not None
@@ -197,7 +196,7 @@
         if self.name in readers:
             return
         ips = [ip for name in readers if (ip := self._peers.ip_of(name))]
-        if self.knowledge.freshness.age_ms(now_ms) > _SELF_READ_MS:
+        if self.knowledge.freshness.age_ms(now_ms) > self.times.self_read_ms:
             others = [ip for ip in self._peers.addresses() if ip not in ips]
             ips += self.rng.sample(others, min(3, len(others)))
         self._peers.ask(ips)
@@ -312,7 +311,7 @@
         finally:
             conn.close()
             self._fetching = False
-        if reply.age_ms <= self.knowledge.freshness_ms:
+        if reply.age_ms <= self.knowledge.freshness.max_age_ms:
             self._learn(
                 _state.RawState(reply.read, reply.digest),
                 began_ms - reply.age_ms,
--- a/packages/hollycart/src/hollycart/gateway/_reserver.py
+++ b/packages/hollycart/src/hollycart/gateway/_reserver.py
@@ -27,11 +27,15 @@
     Args:
         codec: Translates the orders.
         clock: Source of time.
+        hold_max_ms: Longest reservation that endpoints accept, in ms.
     """
 
-    def __init__(self, codec: _codec.RequestCodec, clock: base.Clock) -> None:
+    def __init__(
+        self, codec: _codec.RequestCodec, clock: base.Clock, hold_max_ms: float
+    ) -> None:
         self.codec = codec
         self.clock = clock
+        self.hold_max_ms = hold_max_ms
         self._renewals: dict[str, Any] = {}
 
     def reserve(
@@ -70,7 +74,7 @@
         self, ticket: str, wanted: tuple[placement.Reservation, ...]
     ) -> None:
         while True:
-            self.clock.sleep_ms(_RENEW_MS)
+            self.clock.sleep_ms(min(_RENEW_MS, self.hold_max_ms / 3))
             for item in wanted:
                 self._order(ticket, item)
 
@@ -85,7 +89,7 @@
 
     def _order(self, ticket: str, item: placement.Reservation) -> bool:
         head, body = self.codec.encode_reservation(
-            ticket, item.tokens, _HOLD_MS
+            ticket, item.tokens, min(_HOLD_MS, self.hold_max_ms)
         )
         return self._call(item.endpoint, head, body) == _OK
 
--- a/packages/hollycart/src/hollycart/gateway/_state.py
+++ b/packages/hollycart/src/hollycart/gateway/_state.py
@@ -75,7 +75,6 @@
     """
 
     def __init__(self, freshness_ms: float, return_ms: float) -> None:
-        self.freshness_ms = freshness_ms
         self.return_ms = return_ms
         self.freshness = routing.Freshness(freshness_ms)
         self.raw: RawState | None = None
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -254,6 +254,7 @@
             self.clock,
             "z",
             1500.0,
+            20000.0,
         )
         self.front = connections.FrontServer(
             f"127.0.0.1:{_free_port()}", self.forwarder.handle, self.clock
--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -5,6 +5,7 @@
 from hollycart import gateway
 from hollycart import observe
 from hollycart.gateway import _messages
+from hollycart.gateway import _read_times
 from hollycart.gateway import _reader
 from hollycart.gateway import _state
 from hollycart_core import base
@@ -81,6 +82,7 @@
         clock,
         random.Random(1),
         1,
+        _read_times.ReadTimes(),
     )
     made._peers = Peers()
     return made
@@ -131,3 +133,22 @@
     reader._read()
     reader._read()
     assert len(reader._peers.changes) == 1
+
+
+def test_changed_bound_on_keys_holds_for_proofs_to_peers(
+    reader, store, knowledge, clock
+):
+    reader._read()
+    clock.sleep_ms(2000)
+    question = _messages.Ask("peer", 1.0)
+    assert reader.answer(question) is not None
+    knowledge.freshness.max_age_ms = 1500.0
+    assert reader.answer(question) is None
+
+
+@pytest.mark.parametrize("bound_ms", [400.0, 1000.0, 2000.0, 5000.0])
+def test_state_is_read_several_times_within_every_bound(bound_ms):
+    times = _read_times.ReadTimes.within(bound_ms)
+    assert 4 * times.read_ms <= bound_ms
+    assert times.ask_ms + times.read_ms < times.self_read_ms
+    assert times.self_read_ms < times.failing_ms < bound_ms
