Gateway: checks of endpoints survive a fault, one place for socket options

Found by reading: a fault in one check of unreachable endpoints ended the loop for good, and so did one in a renewal of a reservation. Both are PeriodicTask now, which logs and goes on. Socket options stood twice; the watch of a stream has its own file and knows callbacks instead of the forwarder.

--- a/packages/hollycart-core/src/hollycart_core/base/_loop.py
+++ b/packages/hollycart-core/src/hollycart_core/base/_loop.py
@@ -32,9 +32,13 @@
         self.on_error = on_error
         self._thread: greenthread.GreenThread | None = None
 
-    def start(self) -> None:
-        """Starts the calls; the first is made at once."""
-        self._thread = eventlet.spawn(self._run)
+    def start(self, at_once: bool = True) -> None:
+        """Starts the calls.
+
+        Args:
+            at_once: Whether the first call is made now or after an interval.
+        """
+        self._thread = eventlet.spawn(self._run, at_once)
 
     def close(self) -> None:
         """Stops the calls."""
@@ -42,7 +46,9 @@
             self._thread.kill()
             self._thread = None
 
-    def _run(self) -> None:
+    def _run(self, at_once: bool) -> None:
+        if not at_once:
+            self.clock.sleep_ms(self.interval_ms)
         while True:
             try:
                 self.function()
--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -9,6 +9,7 @@
 
 from hollycart_core import base
 from hollycart_core.connections import _messages
+from hollycart_core.connections import _sockets
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
@@ -48,12 +49,7 @@
         host, _, port = self.address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                _USER_TIMEOUT_MS,
-            )
+            _sockets.configure(sock, _USER_TIMEOUT_MS)
             sock.settimeout(max(0.001, timeout_ms / 1000.0))
             sock.connect((host, int(port)))
         except (OSError, ValueError) as exc:
--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -13,6 +13,7 @@
 
 from hollycart_core import base
 from hollycart_core.connections import _messages
+from hollycart_core.connections import _sockets
 
 _READ_BYTES = 65536
 _MAX_AHEAD_BYTES = 65536  # read from a caller beyond its current request
@@ -378,12 +379,7 @@
                 eventlet.sleep(0.05)
                 continue
             try:
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.setsockopt(
-                    socket.IPPROTO_TCP,
-                    socket.TCP_USER_TIMEOUT,
-                    _USER_TIMEOUT_MS,
-                )
+                _sockets.configure(sock, _USER_TIMEOUT_MS)
             except OSError as exc:
                 logging.info("connection lost on accept: %s", exc)
                 sock.close()
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -15,6 +15,7 @@
 from hollycart.gateway import _peers
 from hollycart.gateway import _reserver
 from hollycart.gateway import _state
+from hollycart.gateway import _stream_watch
 from hollycart.gateway import _waiting
 from hollycart_core import base
 from hollycart_core import connections
@@ -27,40 +28,6 @@
 _MEMORY_WAIT_MS = 100.0
 
 
-class _StreamWatch(_attempt.EventSink):
-    """Notes first event and pauses of one attempt."""
-
-    def __init__(
-        self,
-        forwarder: "Forwarder",
-        job: _job.Job,
-        progress: _job.Progress,
-        chosen: placement.Placement,
-    ) -> None:
-        self.forwarder = forwarder
-        self.job = job
-        self.progress = progress
-        self.chosen = chosen
-        self.sent_ms = forwarder.clock.now_ms()
-        self._last_ms: float | None = None
-
-    def note(self) -> None:
-        """Notes one event."""
-        now_ms = self.forwarder.clock.now_ms()
-        self.progress.last_event_ms = now_ms
-        last_ms, self._last_ms = self._last_ms, now_ms
-        if last_ms is None:
-            self.forwarder.note_first_event(self, now_ms)
-            return
-        gap_ms = now_ms - last_ms
-        self.progress.longest_pause_ms = max(
-            self.progress.longest_pause_ms, gap_ms
-        )
-        self.forwarder.chooser.note_pace(
-            self.job, self.chosen.endpoint.id, gap_ms, now_ms
-        )
-
-
 class Forwarder:
     """Answers the exchanges of the front server.
 
@@ -152,9 +119,32 @@
             failure = base.HollycartError(f"{type(exc).__name__}: {exc}")
             self._fail(exchange, request_id, progress, failure)
 
-    def note_first_event(self, watch: _StreamWatch, now_ms: float) -> None:
-        """Notes the first event of an attempt."""
-        job, chosen = watch.job, watch.chosen
+    def _watch(
+        self,
+        job: _job.Job,
+        progress: _job.Progress,
+        chosen: placement.Placement,
+    ) -> _stream_watch.StreamWatch:
+        """Returns what notes the events of an attempt that is sent now."""
+        sent_ms = self.clock.now_ms()
+
+        def on_first(now_ms: float) -> None:
+            self._note_first_event(job, chosen, now_ms, sent_ms)
+
+        def on_pause(pause_ms: float, now_ms: float) -> None:
+            self.chooser.note_pace(job, chosen.endpoint.id, pause_ms, now_ms)
+
+        return _stream_watch.StreamWatch(
+            self.clock, progress, on_first, on_pause
+        )
+
+    def _note_first_event(
+        self,
+        job: _job.Job,
+        chosen: placement.Placement,
+        now_ms: float,
+        sent_ms: float,
+    ) -> None:
         if chosen.works:
             self.waiting.keep_writer(chosen.works[0].attempt, chosen.works)
             self.peers.start_writing(chosen.works[0].attempt)
@@ -166,7 +156,7 @@
                 job.meta.request_id,
                 chosen.endpoint.id,
                 round(chosen.first_event_ms, 1),
-                round(now_ms - watch.sent_ms, 1),
+                round(now_ms - sent_ms, 1),
                 round(total_ms, 1),
             )
         )
@@ -269,7 +259,7 @@
                 self.reserver.reserve(ticket, chosen.reservations)
             conn = self._connect(endpoint, job)
             self.admission.check_before_send(job, endpoint)
-            watch = _StreamWatch(self, job, progress, chosen)
+            watch = self._watch(job, progress, chosen)
             self._relay.run(job, progress, chosen, conn, ticket, watch)
             self.health.note_success(endpoint.id)
         except base.HollycartError as exc:
--- a/packages/hollycart/src/hollycart/gateway/_monitor.py
+++ b/packages/hollycart/src/hollycart/gateway/_monitor.py
@@ -1,8 +1,8 @@
 """Finds endpoints that are gone, before requests wait for them."""
 
 from collections.abc import Callable
-from typing import Any
 
+from absl import logging
 import eventlet
 
 from hollycart import observe
@@ -48,17 +48,17 @@
         self.on_lost = on_lost
         self.tell = tell
         self._checking: set[str] = set()
-        self._thread: Any = None
+        self._task = base.PeriodicTask(
+            self._recheck, _RECHECK_MS, clock, self._note_fault
+        )
 
     def start(self) -> None:
         """Begins to check again what was unreachable."""
-        self._thread = eventlet.spawn(self._run)
+        self._task.start()
 
     def close(self) -> None:
         """Stops."""
-        if self._thread is not None:
-            self._thread.kill()
-            self._thread = None
+        self._task.close()
 
     def suspect(self, endpoint_id: str) -> None:
         """Checks an endpoint soon, unless it is known to be unreachable."""
@@ -78,16 +78,17 @@
         self.tell(endpoint_id)
         self.on_lost(endpoint_id)
 
-    def _run(self) -> None:
-        while True:
-            self.clock.sleep_ms(_RECHECK_MS)
-            for endpoint_id in self.health.unreachable():
-                known = self.knowledge.endpoints.get(endpoint_id)
-                if known is None:
-                    self.health.forget(endpoint_id)
-                elif endpoint_id not in self._checking:
-                    self._checking.add(endpoint_id)
-                    eventlet.spawn_n(self._check, known)
+    def _recheck(self) -> None:
+        for endpoint_id in self.health.unreachable():
+            known = self.knowledge.endpoints.get(endpoint_id)
+            if known is None:
+                self.health.forget(endpoint_id)
+            elif endpoint_id not in self._checking:
+                self._checking.add(endpoint_id)
+                eventlet.spawn_n(self._check, known)
+
+    def _note_fault(self, exc: Exception) -> None:
+        logging.error("fault in checks of endpoints: %r", exc)
 
     def _check(self, endpoint: placement.Endpoint) -> None:
         conn = connections.ClientConnection(endpoint.address, self.clock)
--- a/packages/hollycart/src/hollycart/gateway/_reserver.py
+++ b/packages/hollycart/src/hollycart/gateway/_reserver.py
@@ -1,7 +1,5 @@
 """Sets memory aside at several endpoints, all of it or none."""
 
-from typing import Any
-
 from absl import logging
 import eventlet
 
@@ -36,7 +34,7 @@
         self.codec = codec
         self.clock = clock
         self.hold_max_ms = hold_max_ms
-        self._renewals: dict[str, Any] = {}
+        self._renewals: dict[str, base.PeriodicTask] = {}
 
     def reserve(
         self, ticket: str, wanted: tuple[placement.Reservation, ...]
@@ -58,7 +56,7 @@
         except BaseException:
             eventlet.spawn_n(self._release_all, ticket, tuple(done))
             raise
-        self._renewals[ticket] = eventlet.spawn(self._renew, ticket, wanted)
+        self._renewals[ticket] = self._start_renewal(ticket, wanted)
 
     def release(
         self, ticket: str, wanted: tuple[placement.Reservation, ...]
@@ -67,17 +65,24 @@
         renewal = self._renewals.pop(ticket, None)
         if renewal is None:
             return
-        renewal.kill()
+        renewal.close()
         eventlet.spawn_n(self._release_all, ticket, wanted)
 
-    def _renew(
+    def _start_renewal(
         self, ticket: str, wanted: tuple[placement.Reservation, ...]
-    ) -> None:
-        while True:
-            self.clock.sleep_ms(min(_RENEW_MS, self.hold_max_ms / 3))
+    ) -> base.PeriodicTask:
+        def renew() -> None:
             for item in wanted:
                 self._order(ticket, item)
 
+        def note_fault(exc: Exception) -> None:
+            logging.error("fault in renewal of %s: %r", ticket, exc)
+
+        interval_ms = min(_RENEW_MS, self.hold_max_ms / 3)
+        task = base.PeriodicTask(renew, interval_ms, self.clock, note_fault)
+        task.start(at_once=False)
+        return task
+
     def _release_all(
         self, ticket: str, wanted: tuple[placement.Reservation, ...]
     ) -> None:
