Placement on large pools: at most 16 tickets, many short parts found

A prompt over one memory took 17 engines. The list of 16 then holds 17 entries, since the writing engine's own ticket is listed: 42 answers 400, four attempts in a row, the prompt given up. The search over the number of engines stopped after three numbers without a gain: halves and thirds disturb those that are read there, eighths do not. Prompts of 315,000 to 730,000 tokens were read by one to three of 69 engines in 6 to 9 s. 3.

Change: 16 with tickets; 1, 2, 4, 8 and the most are tried first, then the numbers next to the best; all engines are counted.

Not yet measured: the grown site.

--- a/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
@@ -95,6 +95,26 @@
     assert virtual.share_on_time(outcomes, "short") >= 0.9
 
 
+@pytest.fixture(scope="module")
+def large():
+    """Many long prompts at 69 engines of six slots."""
+    kinds = (
+        SHORT._replace(per_s=25.0, target_ms=321),
+        MIDDLE._replace(per_s=6.0),
+        LONG._replace(
+            per_s=4.0, mean_tokens=300000, target_ms=4055, patience_ms=16000
+        ),
+    )
+    parameters = PARAMETERS._replace(slots=6, memory_tokens=382500)
+    arrivals = virtual.draw_arrivals(kinds, [(8.0, {})], random.Random(10))
+    return virtual.play(arrivals, parameters, 69)
+
+
+@pytest.mark.parametrize("kind", ["short", "middle", "long"])
+def test_many_engines_are_all_used_for_long_prompts(large, kind):
+    assert virtual.share_on_time(large, kind) >= 0.9
+
+
 def test_callers_are_told_before_they_leave():
     """More short prompts than there are slots; callers leave after 2 s."""
     crowd = SHORT._replace(per_s=70.0, patience_ms=2000.0)
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -9,20 +9,26 @@
 from hollycart_core.placement import _losses
 from hollycart_core.placement import _types
 
-# Numbers of endpoints that are tried for one prompt.
-_SHARE_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
+# Numbers of endpoints that are tried for one prompt, and those that are tried
+# next to the best of them. Few shares that disturb others say nothing of many
+# short ones, so that a search by steps from one would stop too early.
+_SHARE_COUNTS = (1, 2, 4, 8)
+_MOST_SHARES = 17  # the one that writes and 16 that engines accept as helpers
+_NEAR_COUNTS = {1: (3,), 2: (3,), 4: (3, 5, 6), 8: (5, 6, 7, 10)}
+_NEAR_MOST = (10, 12, 14)
+# Numbers for a prompt whose memory is reserved: engines accept a list of 16
+# that includes the one that writes.
+_TICKET_COUNTS = (2, 3, 4, 5, 6, 8, 10, 12, 14, 16)
 # Loss per helper: its connections and the smallest step.
 _HELPER_LOSS = 0.004
 # Loss, for the order of endpoints only, where no slot is free.
 _FULL_LOSS = 1.0
 # Part of an endpoint's memory that predictions may fill.
 _MEMORY_SHARE = 0.96
-# Bounds on the time of one decision: endpoints that are looked at closely, and
-# numbers of shares tried without a gain.
+# Bounds on the time of one decision: endpoints that are looked at closely.
 _MAX_MAINS = 10
 _MAX_CLOSE_MAINS = 3
 _MAX_HELPERS = 24
-_MAX_WORSE = 3
 # Parts below this time are not divided further: a step takes one ms.
 _SMALL_PART_MS = 8.0
 # Shares with which endpoints are compared before the number is known.
@@ -89,23 +95,29 @@
             helpers = _rank(prompt, helpers, rough_ms)[:_MAX_HELPERS]
         if len(mains) > _MAX_MAINS:
             mains = _rank_mains(prompt, mains, rough_ms)[:_MAX_MAINS]
-        best: _types.Placement | None = None
-        worse = 0
-        for count in _SHARE_COUNTS:
-            if count > 1 and count > len(helpers):
-                break
+        tried: list[_types.Placement] = []
+
+        def attempt(count: int) -> None:
+            if 1 < count > len(helpers):
+                return
             found = self._with_shares(
-                prompt, model, mains, helpers, count, now_ms, demand
+                prompt, model, mains, helpers, count, now_ms, demand, states
             )
-            if found is not None and (best is None or found.cost < best.cost):
-                best = found
-                worse = 0
-            else:
-                worse += 1
-            small = model.read_ms(prompt.tokens, count) < _SMALL_PART_MS
-            if small or worse >= _MAX_WORSE:
+            if found is not None:
+                tried.append(found)
+
+        most = min(_MOST_SHARES, len(helpers))
+        for count in (*_SHARE_COUNTS, most):
+            attempt(count)
+            if model.read_ms(prompt.tokens, count) < _SMALL_PART_MS:
                 break
-        return best
+        if not tried:
+            return None
+        best = len(min(tried, key=_cost).works)
+        for count in _NEAR_COUNTS.get(best, _NEAR_MOST):
+            if model.read_ms(prompt.tokens, count) >= _SMALL_PART_MS:
+                attempt(count)
+        return min(tried, key=_cost)
 
     def idle_pass_ms(
         self, endpoint: str, model: _engine_model.EngineModel
@@ -136,6 +148,7 @@
         count: int,
         now_ms: float,
         demand: _losses.QuickDemand | None,
+        states: list[_endpoint_state.EndpointState],
     ) -> _types.Placement | None:
         part_ms = model.read_ms(prompt.tokens, count)
         ranked: list[_endpoint_state.EndpointState] = []
@@ -148,7 +161,7 @@
             if len(chosen) < count - 1:
                 continue
             crowding = _losses.crowding_loss(
-                demand, helpers, main, chosen, part_ms
+                demand, states, main, chosen, part_ms
             )
             for hold in (False, True):
                 found = self._schedule(
@@ -222,7 +235,7 @@
     ) -> _types.Placement | None:
         """Spreads the memory of a prompt that no single endpoint can take."""
         best: _types.Placement | None = None
-        for count in _SHARE_COUNTS[1:]:
+        for count in _TICKET_COUNTS:
             if count > len(states):
                 break
             found = self._spread(prompt, model, states, count, now_ms, demand)
@@ -379,3 +392,7 @@
         )
 
     return sorted(states, key=loss)
+
+
+def _cost(placed: _types.Placement) -> float:
+    return placed.cost
--- a/packages/hollycart-core/src/hollycart_core/placement/tests/conftest.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/conftest.py
@@ -39,6 +39,14 @@
     ]
 
 
+@pytest.fixture
+def many_endpoints():
+    return [
+        placement.Endpoint(f"e{i:02d}", f"10.0.1.{i}:1", "llm", "z", 6)
+        for i in range(69)
+    ]
+
+
 @pytest.fixture
 def short_prompt():
     def make(attempt, tokens=5000):
--- a/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
@@ -66,6 +66,31 @@
     assert all(r.tokens <= 450000 for r in chosen.reservations)
 
 
+def test_no_more_endpoints_are_listed_than_an_engine_accepts(
+    placer, model, many_endpoints, long_prompt
+):
+    """Seen on a played day: 17 tickets were answered with 400."""
+    chosen = placer.choose(long_prompt("l", 480000), model, many_endpoints, 0.0)
+    # The writing endpoint's own ticket is listed, too.
+    assert len(chosen.reservations) <= 16
+    assert len(chosen.helpers) <= 15
+
+
+def test_long_prompt_is_split_where_halves_would_disturb_others(
+    placer, view, model, many_endpoints, long_prompt
+):
+    """Seen on a played day: 322,000 tokens on one of 69 engines."""
+    for i in range(5):
+        chosen = placer.choose(
+            long_prompt(f"l{i}", 350000), model, many_endpoints, 0.0
+        )
+        view.add("i", chosen.works)
+    chosen = placer.choose(
+        long_prompt("last", 320000), model, many_endpoints, 0.0
+    )
+    assert chosen.first_event_ms < 3000
+
+
 def test_prompt_over_all_memory_has_no_place(
     placer, model, endpoints, long_prompt
 ):
