Placement: last slots are spared for what others place at the same time

All instances see the same best engine; a decision is known elsewhere about 10 ms after the view on which it rests.

Change: a loss for the chance (Poisson) that others take the slots that are left.

--- a/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
@@ -115,6 +115,17 @@
     assert virtual.share_on_time(large, kind) >= 0.9
 
 
+def test_instances_that_place_at_once_do_not_fill_the_same_slots():
+    """The others learn of a placement 10 ms later."""
+    crowd = SHORT._replace(per_s=120.0, target_ms=321)
+    parameters = PARAMETERS._replace(slots=6, memory_tokens=382500)
+    arrivals = virtual.draw_arrivals((crowd,), [(5.0, {})], random.Random(2))
+    outcomes = virtual.play(
+        arrivals, parameters, 69, instances=12, delay_ms=10.0
+    )
+    assert virtual.share_on_time(outcomes, "short") >= 0.99
+
+
 def test_callers_are_told_before_they_leave():
     """More short prompts than there are slots; callers leave after 2 s."""
     crowd = SHORT._replace(per_s=70.0, patience_ms=2000.0)
--- a/packages/hollycart-core/src/hollycart_core/placement/_losses.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_losses.py
@@ -1,5 +1,6 @@
 """What a placement is predicted to cost, in answers that are not on time."""
 
+import math
 from typing import NamedTuple
 
 from hollycart_core.placement import _endpoint_state
@@ -28,6 +29,9 @@
 _ZONE_LOSS = 0.002
 # Part of the loss of a prompt that is late but still answered.
 _LATE_LOSS = 0.75
+# Time from the view on which a placement rests until all instances know it:
+# the decision, gathering of datagrams and the way, in ms.
+_UNSEEN_MS = 10.0
 # Length of a quick answer, in tokens: the mean that both users publish.
 _QUICK_ANSWER_TOKENS = 1500
 # Loss of an answer that another prompt makes late, in losses of one that is
@@ -138,11 +142,45 @@
     return sum(losses.values())
 
 
+def unseen_arrivals(
+    model: _engine_model.EngineModel,
+    states: list[_endpoint_state.EndpointState],
+) -> float:
+    """Returns how many prompts are placed before this placement is known.
+
+    They may choose the same endpoint, since they see what is seen here.
+    """
+    running = sum(s.slots_used for s in states)
+    return running * _UNSEEN_MS / model.write_ms(_QUICK_ANSWER_TOKENS)
+
+
+def collision_loss(
+    state: _endpoint_state.EndpointState, prompt: _types.Prompt, unseen: float
+) -> float:
+    """Returns the loss of being one too many for the slots that are left.
+
+    Args:
+        state: The endpoint.
+        prompt: The prompt.
+        unseen: Prompts that are placed at the same time, on average.
+    """
+    if state.slots_free <= 0:
+        return 0.0
+    # Poisson: so many others that the slots left do not suffice for all.
+    term = fitting = math.exp(-unseen)
+    for number in range(1, state.slots_free):
+        term *= unseen / number
+        fitting += term
+    return prompt.weight * _LATE_LOSS * (1.0 - fitting) / 2.0
+
+
 def main_loss(
-    state: _endpoint_state.EndpointState, prompt: _types.Prompt
+    state: _endpoint_state.EndpointState,
+    prompt: _types.Prompt,
+    unseen: float,
 ) -> float:
     """Returns the loss of writing the answer at an endpoint."""
-    loss = 0.0
+    loss = collision_loss(state, prompt, unseen)
     if prompt.zone and state.endpoint.zone != prompt.zone:
         loss += _ZONE_LOSS
     alike = any(w.pause_ms <= prompt.pause_ms for w in state.writers)
