--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 DURATION_S ?= 120
 
-.PHONY: setup run up test prove measure scale recover
+.PHONY: setup run up test prove soak measure scale recover
 
 setup: $(VENV)/installed
 
@@ -25,12 +25,15 @@
 test: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy packages/*/src platform/hollycart_platform
+	$(BIN)/mypy packages/*/src platform/hollycart_platform platform/hollycart_standins
 	$(BIN)/python -m pytest $(PYTEST_ARGS)
 
 prove: setup
 	$(BENCH) prove --seed $(SEED) --seeds $(or $(SEEDS),1) --duration-s $(DURATION_S)
 
+soak: setup
+	$(BENCH) soak --seed $(SEED)
+
 measure: setup
 	$(BENCH) measure $(if $(QUICK),--quick) $(MEASURE_ARGS)
 
--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -14,6 +14,7 @@
 from hollycart_bench import recover as recovery
 from hollycart_bench import run
 from hollycart_bench import scale as scaling
+from hollycart_bench import soak as soaking
 
 
 def sample(
@@ -57,6 +58,17 @@
     return proofs.run_seeds(numbers, duration_s, pathlib.Path(out))
 
 
+def soak(*, seed: int = 1, per_s: float = 25.0, out: str = "out/soak") -> int:
+    """Plays every kind of fault once on the platform's protocol.
+
+    Args:
+        seed: Seed of load and faults.
+        per_s: Requests a second.
+        out: Folder for settings, journals and output.
+    """
+    return soaking.run_soak(pathlib.Path(out), seed, per_s)
+
+
 def measure(
     *,
     quick: bool = False,
@@ -165,7 +177,7 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(
         defopt.run(
-            [sample, up, prove, measure, scale, recover, cell],
+            [sample, up, prove, soak, measure, scale, recover, cell],
             no_negated_flags=True,
         )
     )
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -0,0 +1,199 @@
+"""An engine on loopback that keeps a journal of what it runs."""
+
+import hashlib
+import pathlib
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+from eventlet import semaphore
+
+from hollycart_core import base
+from hollycart_core import connections
+from hollycart_core import placement
+from hollycart_core import routing
+import hollycart_standins
+
+_QUEUE = 16  # requests that wait for a slot at most
+# Time of the work of a request without a prompt, in ms.
+_WORK_MS = 60.0
+SLOTS = 8
+# The step model that both users publish.
+PARAMETERS = routing.EngineParameters(
+    SLOTS, 450000, 46, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048
+)
+_EVENTS_LEAST = 5
+_EVENTS_MORE = 20
+HELD_PATH = b"/control/held"
+
+
+class _Ticket(NamedTuple):
+    tokens: int
+    ends_ms: float
+
+
+class SoakEngine:
+    """Runs requests in slots, by the published step model.
+
+    Args:
+        address: `IP:PORT` to listen on.
+        engine_id: Id of its lifetime.
+        parameters: Step model; None for endpoints without prompts.
+        slots: Requests that it runs at the same time.
+        journal: File that keeps what has run, over a crash.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        engine_id: str,
+        parameters: routing.EngineParameters | None,
+        slots: int,
+        journal: pathlib.Path,
+        clock: base.Clock,
+    ) -> None:
+        self.engine_id = engine_id
+        self.parameters = parameters
+        self.clock = clock
+        self.words = hollycart_standins.EngineWords()
+        self.server = connections.FrontServer(address, self.handle, clock)
+        self._slots = semaphore.Semaphore(slots)
+        self._waiting = 0
+        self._tickets: dict[str, _Ticket] = {}
+        self._journal = journal
+        self._file: Any = None
+
+    def start(self) -> None:
+        """Opens the journal and listens."""
+        self._file = self._journal.open("a", buffering=1, encoding="utf-8")
+        self.server.start()
+
+    def close(self) -> None:
+        """Stops."""
+        self.server.close()
+        self._file.close()
+
+    def handle(self, exchange: connections.Exchange) -> None:
+        """Answers one request."""
+        if exchange.head.target == HELD_PATH:
+            held = str(len(self._live_tickets())).encode()
+            exchange.respond(200, (), held)
+            return
+        ask = self.words.decode(exchange.head, exchange.body)
+        if ask.order:
+            self._order(exchange, ask)
+            return
+        wrong = ask.endpoint_id not in ("", self.engine_id)
+        if wrong or self._waiting >= _QUEUE:
+            status, fields = self.words.rejection(ask, wrong)
+            exchange.respond(status, fields, b"")
+            return
+        self._waiting += 1
+        try:
+            self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            self._run(exchange, ask)
+        finally:
+            self._slots.release()
+
+    def _run(
+        self, exchange: connections.Exchange, ask: hollycart_standins.EngineAsk
+    ) -> None:
+        self._note("run", ask)
+        try:
+            if ask.prompt_tokens and self.parameters is not None:
+                self._stream(exchange, ask, self.parameters)
+            else:
+                self.clock.sleep_ms(_WORK_MS)
+                fields = self.words.success(ask, False)
+                exchange.respond(200, fields, answer_body(ask.request_id))
+        except connections.CallerGoneError:
+            self._note("gone", ask)
+            raise
+        self._note("end", ask)
+
+    def _stream(
+        self,
+        exchange: connections.Exchange,
+        ask: hollycart_standins.EngineAsk,
+        parameters: routing.EngineParameters,
+    ) -> None:
+        model = placement.EngineModel(parameters)
+        if ask.after == 0:
+            self.clock.sleep_ms(model.read_ms(ask.prompt_tokens, ask.shares))
+        exchange.start(200, self.words.success(ask, True), None)
+        last = event_count(ask.request_id)
+        for number in range(ask.after + 1, last + 1):
+            self.clock.sleep_ms(model.pass_ms(1, ask.prompt_tokens))
+            data = event_data(ask.request_id, number)
+            exchange.write(self.words.event(number, data))
+        exchange.finish()
+
+    def _order(
+        self, exchange: connections.Exchange, ask: hollycart_standins.EngineAsk
+    ) -> None:
+        live = self._live_tickets()
+        if ask.order == "release":
+            self._tickets.pop(ask.ticket, None)
+        else:
+            others = sum(t.tokens for i, t in live.items() if i != ask.ticket)
+            memory = self.parameters.memory_tokens if self.parameters else 0
+            if others + ask.tokens > memory:
+                exchange.respond(409, (), b"{}")
+                return
+            self._tickets[ask.ticket] = _Ticket(
+                ask.tokens, self.clock.now_ms() + ask.hold_ms
+            )
+        exchange.respond(200, (), b"{}")
+
+    def _live_tickets(self) -> dict[str, _Ticket]:
+        now_ms = self.clock.now_ms()
+        self._tickets = {
+            name: ticket
+            for name, ticket in self._tickets.items()
+            if ticket.ends_ms > now_ms
+        }
+        return self._tickets
+
+    def _note(self, what: str, ask: hollycart_standins.EngineAsk) -> None:
+        line = f"{self.clock.wall_ms()}\t{self.engine_id}\t{what}"
+        self._file.write(f"{line}\t{ask.request_id}\t{ask.team}\n")
+
+
+def answer_body(request_id: str) -> bytes:
+    """Returns the whole body of a request without a prompt."""
+    return hashlib.blake2b(request_id.encode()).hexdigest().encode()
+
+
+def event_count(request_id: str) -> int:
+    """Returns the number of events in the answer to a prompt."""
+    digest = hashlib.blake2b(request_id.encode(), digest_size=2).digest()
+    return _EVENTS_LEAST + int.from_bytes(digest, "big") % _EVENTS_MORE
+
+
+def event_data(request_id: str, number: int) -> str:
+    """Returns the data of one event."""
+    return hashlib.blake2b(
+        f"{request_id}/{number}".encode(), digest_size=16
+    ).hexdigest()
+
+
+def run_engine(
+    address: str, engine_id: str, journal: pathlib.Path, prompts: bool
+) -> None:
+    """Runs an engine until the process ends.
+
+    Args:
+        address: `IP:PORT` to listen on.
+        engine_id: Id of its lifetime.
+        journal: File that keeps what has run.
+        prompts: Whether it reads prompts and answers with streams.
+    """
+    parameters = PARAMETERS if prompts else None
+    clock = base.SystemClock()
+    SoakEngine(address, engine_id, parameters, SLOTS, journal, clock).start()
+    while True:
+        eventlet.sleep(3600)
--- a/packages/hollycart-bench/src/hollycart_bench/standin.py
+++ b/packages/hollycart-bench/src/hollycart_bench/standin.py
@@ -6,14 +6,17 @@
 
 
 from collections.abc import Callable
+import pathlib
 
 import defopt
 import eventlet
 
 from hollycart_bench import engine
 from hollycart_bench import platform
+from hollycart_bench import soak
 from hollycart_core import base
 from hollycart_core import http
+import hollycart_standins
 
 
 def run_engine(
@@ -107,6 +110,30 @@
     _sleep_forever()
 
 
+def run_platform_store(*, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Runs the platform's metadata store.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port.
+    """
+    _serve(hollycart_standins.StoreApp(base.SystemClock()), host, port)
+
+
+def run_platform_engine(
+    *, address: str, engine_id: str, journal: str, prompts: bool = True
+) -> None:
+    """Runs an engine that speaks the platform's protocol.
+
+    Args:
+        address: `IP:PORT` to listen on.
+        engine_id: Id of its lifetime.
+        journal: File that keeps what has run.
+        prompts: Whether it reads prompts and answers with streams.
+    """
+    soak.run_engine(address, engine_id, pathlib.Path(journal), prompts)
+
+
 def _serve(app: Callable, host: str, port: int) -> None:
     http.HttpServer(app, host, port).start()
     _sleep_forever()
@@ -126,5 +153,7 @@
             run_service,
             run_weights,
             run_balancer,
+            run_platform_store,
+            run_platform_engine,
         ]
     )
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/__init__.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/__init__.py
@@ -4,5 +4,18 @@
 from hollycartctl.diagnosis._explain import explain
 from hollycartctl.diagnosis._lines import LogLine
 from hollycartctl.diagnosis._lines import read_lines
+from hollycartctl.diagnosis._report import render_report
+from hollycartctl.diagnosis._summary import FirstEvents
+from hollycartctl.diagnosis._summary import Summary
+from hollycartctl.diagnosis._summary import summarize
 
-__all__ = ["Explanation", "LogLine", "explain", "read_lines"]
+__all__ = [
+    "Explanation",
+    "FirstEvents",
+    "LogLine",
+    "Summary",
+    "explain",
+    "read_lines",
+    "render_report",
+    "summarize",
+]
--- a/packages/hollycartctl/src/hollycartctl/main.py
+++ b/packages/hollycartctl/src/hollycartctl/main.py
@@ -97,6 +97,36 @@
     sys.stdout.write(f"cause: {found.cause}: {found.summary}\n")
 
 
+def report(
+    out: pathlib.Path,
+    *files: pathlib.Path,
+    metrics: list[pathlib.Path] = [],  # noqa: B006
+) -> None:
+    """Makes a page with plots from instances' logs and metrics.
+
+    Args:
+        out: HTML file to write.
+        files: Log files of the instances; none reads standard input.
+        metrics: Files that hold what the metrics addresses returned.
+    """
+    texts: list[str] = []
+    for file in files:
+        texts += _read(file).splitlines()
+    if not files:
+        texts = sys.stdin.read().splitlines()
+    found = diagnosis.summarize(diagnosis.read_lines(texts))
+    if found is None:
+        sys.stderr.write("no line holds a decision\n")
+        sys.exit(EXIT_INVALID)
+    scrapes = {file.name: _read(file) for file in metrics}
+    try:
+        page = diagnosis.render_report(found, scrapes)
+    except ValueError as exc:
+        sys.stderr.write(f"metrics: {exc}\n")
+        sys.exit(EXIT_INVALID)
+    out.write_text(page, encoding="utf-8")
+
+
 def export(*, json: bool = False) -> None:
     """Prints the table as CSV.
 
@@ -244,6 +274,7 @@
         "targets": targets,
         "drain": drain,
         "explain": explain,
+        "report": report,
     }
     try:
         defopt.run(commands, no_negated_flags=True)
