--- a/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
@@ -19,6 +19,7 @@
 # Shares of requests by kind and of callers that leave early.
 _KINDS = ("stream", "stream", "again", "once")
 _LEAVE_SHARE = 0.05
+_REVOKED_SHARE = 0.1  # of the requests, once a key was taken away
 _WAIT_MS = {"stream": 10000.0, "again": 3000.0, "once": 3000.0}
 # Prompt lengths; the longest needs the memory of several engines.
 _TOKENS = (1500, 3000, 5000, 8000, 45000, 120000, 260000)
@@ -57,7 +58,7 @@
         """Sends one request and waits for its end."""
         rng = self.rng
         kind = rng.choice(_KINDS)
-        team = rng.choice(sorted(self.keys))
+        team = self._choose_team()
         instance, address = self.choose()
         request_id = f"{self._run}{next(self._numbers):08x}"
         tokens = 0
@@ -97,6 +98,13 @@
             )
         )
 
+    def _choose_team(self) -> str:
+        """Returns a team; now and then one whose key was taken away."""
+        revoked = sorted(t for t, _ in self.record.revoked)
+        if revoked and self.rng.random() < _REVOKED_SHARE:
+            return self.rng.choice(revoked)
+        return self.rng.choice(sorted(set(self.keys) - set(revoked)))
+
 
 class _Attempt:
     def __init__(
