Fault soak on the platform's protocol: real processes, faults from outside

Entry instances, engines and the store are processes; a loopback proxy stands before each engine and before the store for each instance. 18 kinds of faults (signals, cuts, resets, delays, outages, keys taken away, engines that leave or vanish, routes moved) come one after the other under load; 13 promises are judged by the callers' answers and the engines' journals.

--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -69,6 +69,24 @@
     return soaking.run_soak(pathlib.Path(out), seed, per_s)
 
 
+def calm(
+    *,
+    seed: int = 1,
+    seconds: float = 60.0,
+    per_s: float = 25.0,
+    out: str = "out/platform",
+) -> int:
+    """Plays a calm load on the platform's protocol.
+
+    Args:
+        seed: Seed of the load.
+        seconds: Length of the load.
+        per_s: Requests a second.
+        out: Folder for settings, journals and output.
+    """
+    return soaking.run_soak(pathlib.Path(out), seed, per_s, calm_s=seconds)
+
+
 def measure(
     *,
     quick: bool = False,
@@ -177,7 +195,7 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(
         defopt.run(
-            [sample, up, prove, soak, measure, scale, recover, cell],
+            [sample, up, prove, soak, calm, measure, scale, recover, cell],
             no_negated_flags=True,
         )
     )
--- a/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
@@ -7,6 +7,7 @@
 
 from hollycart_bench.soak._engine import SoakEngine
 from hollycart_bench.soak._engine import run_engine
+from hollycart_bench.soak._judge import PROMISES
 from hollycart_bench.soak._judge import judge
 from hollycart_bench.soak._proxy import Proxy
 from hollycart_bench.soak._record import Call
@@ -16,6 +17,7 @@
 from hollycart_bench.soak._runner import run_soak
 
 __all__ = [
+    "PROMISES",
     "Call",
     "EngineLine",
     "Fault",
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -16,6 +16,24 @@
 _BREAKING = frozenset(("kill", "freeze"))
 _FAILED = (502, 504)
 _PROMISES = (408, 421, 429, 503)
+# Promises that a run with every kind of fault has to judge.
+PROMISES = frozenset(
+    (
+        "a new configuration is in force",
+        "at most once",
+        "in time",
+        "leaving gets nothing",
+        "memory comes back",
+        "refusals say when",
+        "refused is not run",
+        "revoked keys do not run",
+        "served without faults",
+        "stopped in time",
+        "stopping cuts nothing",
+        "whole and own",
+        "work ends with its caller",
+    )
+)
 # Part of the requests without any fault nearby that have to be served.
 _CALM_SHARE = 0.99
 _CALM_MS = 4000.0  # nothing is disturbed any more after this time
@@ -68,10 +86,14 @@
     verdicts: dict[str, Verdict] = collections.defaultdict(Verdict)
     for call in record.calls:
         _judge_call(call, runs[call.request_id], record, verdicts)
-    _judge_leaving(record, verdicts["leaving gets nothing"])
-    _judge_revoked(record, verdicts["revoked keys do not run"])
-    _judge_moved(record, verdicts["a new configuration is in force"])
-    _judge_gone(record, verdicts["work ends with its caller"])
+    if record.leaving:
+        _judge_leaving(record, verdicts["leaving gets nothing"])
+    if record.revoked:
+        _judge_revoked(record, verdicts["revoked keys do not run"])
+    if record.moved:
+        _judge_moved(record, verdicts["a new configuration is in force"])
+    if any(c.left and _calm(c, record) for c in record.calls):
+        _judge_gone(record, verdicts["work ends with its caller"])
     for name, code in record.exits:
         verdicts["stopped in time"].check(code == 0, f"{name} exit {code}")
     for name, count in record.held.items():
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
@@ -19,6 +19,7 @@
         own: Whether all of it belonged to the request, in order.
         left: Whether the caller left before the end.
         retry_after_ms: When to come back; None if not said.
+        first_ms: Time to the first byte of the answer, in ms; None without.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     own: bool
     left: bool
     retry_after_ms: float | None
+    first_ms: float | None = None
 
 
 class EngineLine(NamedTuple):
--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -132,3 +132,19 @@
 def test_no_calm_request_is_no_proof(record):
     record.faults.append(soak.Fault("store_down", "", 0.0, 20000.0))
     assert broken(record) == {"served without faults"}
+
+
+def test_every_promise_is_judged_where_it_can_be_broken(record):
+    record.calls[0] = CALL._replace(status=503, retry_after_ms=250.0)
+    record.calls.append(CALL._replace(request_id="r2", left=True))
+    record.calls.append(CALL._replace(request_id="r3"))
+    record.faults.append(soak.Fault("stop", "n0", 90000.0, 92000.0))
+    record.calls.append(
+        CALL._replace(request_id="r4", began_ms=90100.0, ended_ms=90200.0)
+    )
+    record.leaving.append(("e-9", 0.0))
+    record.revoked.append(("t9", 0.0))
+    record.moved.append(("e9", 0.0))
+    record.exits.append(("n0", 0))
+    record.held["e-0"] = 0
+    assert set(soak.judge(record)) == set(soak.PROMISES)
