--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 DURATION_S ?= 120
 
-.PHONY: setup run up test prove platform soak measure scale recover
+.PHONY: setup run up test prove platform soak experiment measure scale recover
 
 setup: $(VENV)/installed
 
@@ -37,6 +37,9 @@
 soak: setup
 	$(BENCH) soak --seed $(SEED)
 
+experiment: setup
+	$(BENCH) compare $(if $(QUICK),--seeds 3)
+
 measure: setup
 	$(BENCH) measure $(if $(QUICK),--quick) $(MEASURE_ARGS)
 
--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -9,6 +9,7 @@
 
 import defopt
 
+from hollycart_bench import experiment
 from hollycart_bench import measure as experiments
 from hollycart_bench import prove as proofs
 from hollycart_bench import recover as recovery
@@ -87,6 +88,20 @@
     return soaking.run_soak(pathlib.Path(out), seed, per_s, calm_s=seconds)
 
 
+def compare(*, seeds: int = 10, out: str = "out/experiment") -> int:
+    """Plays ways to decide against each other under virtual time.
+
+    Args:
+        seeds: Number of seeds.
+        out: Folder for cells and plot.
+    """
+    grid = experiment.Grid(seeds=tuple(range(1, seeds + 1)))
+    cells = experiment.run_grid(grid)
+    text = experiment.write_report(cells, pathlib.Path(out))
+    sys.stdout.write(text + "\n")
+    return 0
+
+
 def measure(
     *,
     quick: bool = False,
@@ -195,7 +210,18 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(
         defopt.run(
-            [sample, up, prove, soak, calm, measure, scale, recover, cell],
+            [
+                sample,
+                up,
+                prove,
+                soak,
+                calm,
+                compare,
+                measure,
+                scale,
+                recover,
+                cell,
+            ],
             no_negated_flags=True,
         )
     )
--- a/packages/hollycart-bench/src/hollycart_bench/virtual/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/__init__.py
@@ -5,13 +5,17 @@
 from hollycart_bench.virtual._load import PromptKind
 from hollycart_bench.virtual._load import draw_arrivals
 from hollycart_bench.virtual._load import seasonal_phases
+from hollycart_bench.virtual._play import MakePolicy
 from hollycart_bench.virtual._play import Outcome
+from hollycart_bench.virtual._play import Policy
 from hollycart_bench.virtual._play import play
 from hollycart_bench.virtual._play import share_on_time
 
 __all__ = [
     "Arrival",
+    "MakePolicy",
     "Outcome",
+    "Policy",
     "PromptKind",
     "VirtualEngine",
     "draw_arrivals",
--- a/packages/hollycart-bench/src/hollycart_bench/virtual/_play.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/_play.py
@@ -1,10 +1,13 @@
 """Plays a load through a placement and reports what callers get."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 import heapq
 import itertools
 from typing import Any
 from typing import NamedTuple
+from typing import Protocol
 
 from hollycart_bench.virtual import _engine
 from hollycart_bench.virtual import _load
@@ -16,6 +19,22 @@
 _COMES_BACK = 1  # times that a refused caller comes back, as the users' do
 
 
+class Policy(Protocol):
+    """Chooses where a prompt goes; the product's placer is one."""
+
+    def choose(
+        self,
+        prompt: placement.Prompt,
+        model: placement.EngineModel,
+        endpoints: Iterable[placement.Endpoint],
+        now_ms: float,
+    ) -> placement.Placement | None:
+        """Returns a placement, None if no endpoint can take the prompt."""
+
+
+MakePolicy = Callable[[placement.LoadView, placement.EndpointHealth], Policy]
+
+
 class Outcome(NamedTuple):
     """What a caller got.
 
@@ -67,6 +86,7 @@
     slow: dict[int, float] | None = None,
     instances: int = 1,
     delay_ms: float = 0.0,
+    make_policy: MakePolicy = placement.Placer,
 ) -> list[Outcome]:
     """Returns the outcome of every arrival.
 
@@ -77,8 +97,11 @@
         slow: Factors on the times of some engines, by number.
         instances: Instances that place prompts, in turn.
         delay_ms: Time until the others know of a placement, in ms.
+        make_policy: Makes the policy of an instance from its view.
     """
-    player = _Player(parameters, engines, slow or {}, instances, delay_ms)
+    player = _Player(
+        parameters, engines, slow or {}, instances, delay_ms, make_policy
+    )
     return player.run(arrivals)
 
 
@@ -96,6 +119,7 @@
         slow: dict[int, float],
         instances: int,
         delay_ms: float,
+        make_policy: MakePolicy,
     ) -> None:
         self.delay_ms = delay_ms
         self.model = placement.EngineModel(parameters)
@@ -112,7 +136,7 @@
         self.running: set[str] = set()
         health = placement.EndpointHealth()
         self.views = [placement.LoadView() for _ in range(instances)]
-        self.placers = [placement.Placer(view, health) for view in self.views]
+        self.placers = [make_policy(view, health) for view in self.views]
         self.prompts: list[_Prompt] = []
         self.events: list[tuple[float, int, str, Any]] = []
         self.order = itertools.count()
