--- a/packages/hollycart-bench/src/hollycart_bench/experiment/_report.py
+++ b/packages/hollycart-bench/src/hollycart_bench/experiment/_report.py
@@ -56,10 +56,9 @@
     places = sorted({(c.pool, c.load) for c in cells})
     by_place = {(c.way, c.pool, c.load, c.seed): c for c in cells}
     for pool, load in places:
+        place = (way, pool, load)
         seeds = sorted(
-            c.seed
-            for c in cells
-            if (c.way, c.pool, c.load) == (way, pool, load)
+            c.seed for c in cells if (c.way, c.pool, c.load) == place
         )
         for kind in _grid.KINDS:
             pairs = numpy.array(
@@ -85,7 +84,8 @@
         folder: Where the files go.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    (folder / "cells.json").write_bytes(msgspec.json.encode(cells))
+    rows = [cell._asdict() for cell in cells]
+    (folder / "cells.json").write_bytes(msgspec.json.encode(rows))
     ways = list(dict.fromkeys(c.way for c in cells))
     lines = [_head("share on time", ways)]
     for pool, load, kind in _rows(cells):
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -73,6 +73,8 @@
             TimeoutError: If an instance does not become ready.
         """
         self.folder.mkdir(parents=True, exist_ok=True)
+        for path in self.journals():
+            path.unlink()  # of an earlier run with the same request ids
         self._client.start()
         self._start_store()
         for number in range(self._model_engines):
