--- a/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
@@ -98,6 +98,18 @@
             )
         )
 
+    def send_direct(self, address: str) -> None:
+        """Sends a request without a prompt straight to an engine."""
+        request_id = f"{self._run}{next(self._numbers):08x}"
+        wait_ms = _WAIT_MS["again"]
+        head = hollycart_standins.encode_request(
+            request_id, f"/again/{request_id}", "", wait_ms
+        )
+        attempt = _Attempt(self.clock, request_id, address)
+        attempt.run(head, wait_ms)
+        if attempt.complete and attempt.first_ms is not None:
+            self.record.direct_ms.append(attempt.first_ms)
+
     def _choose_team(self) -> str:
         """Returns a team; now and then the last whose key was taken away."""
         revoked = [t for t, _ in self.record.revoked]
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
@@ -83,6 +83,8 @@
         moved: Service that routes left and the acknowledgement, in ms.
         exits: Instance, exit code and whether it was asked to stop.
         held: Reservations that engines hold at the end.
+        direct_ms: Times to the first byte of requests sent to an engine
+            without an instance between, in ms.
     """
 
     def __init__(self) -> None:
@@ -94,3 +96,4 @@
         self.moved: list[tuple[str, float]] = []
         self.exits: list[tuple[str, int | None]] = []
         self.held: dict[str, int] = {}
+        self.direct_ms: list[float] = []
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_runner.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_runner.py
@@ -17,6 +17,7 @@
 _WARM_S = 10.0
 _COOL_S = 12.0
 _SETTLE_S = 5.0  # the platform gives memory four seconds to come back
+_DIRECT_S = 0.2  # between two requests that pass no instance
 _BALANCE_S = 1.0  # between two looks at readiness
 
 
@@ -97,6 +98,7 @@
     ]
     eventlet.sleep(_WARM_S)
     if calm_s:
+        loops.append(eventlet.spawn(_send_direct, caller, system))
         eventlet.sleep(calm_s)
     else:
         _faults.Faults(system, record, clock, random.Random(rng.random())).run()
@@ -117,6 +119,14 @@
         eventlet.sleep(rng.expovariate(per_s))
 
 
+def _send_direct(caller: _caller.Caller, system: _system.SoakSystem) -> None:
+    """Measures what the engines need without an instance between."""
+    while True:
+        for address in system.plain_addresses():
+            caller.send_direct(address)
+            eventlet.sleep(_DIRECT_S)
+
+
 def _collect(system: _system.SoakSystem, record: _record.SoakRecord) -> None:
     eventlet.sleep(_SETTLE_S)
     for engine_id in system.engines:
@@ -138,10 +148,15 @@
             for c in record.calls
             if c.kind == kind and c.first_ms is not None and c.status == 200
         )
-        if times:
-            median, late = times[len(times) // 2], times[len(times) * 95 // 100]
-            lines.append(f"{kind:>8} {len(times):6} {median:7.0f} {late:7.0f}")
-    return lines
+        lines += _row(kind, times)
+    return lines + _row("direct", sorted(record.direct_ms))
+
+
+def _row(kind: str, times: list[float]) -> list[str]:
+    if not times:
+        return []
+    median, late = times[len(times) // 2], times[len(times) * 95 // 100]
+    return [f"{kind:>8} {len(times):6} {median:7.1f} {late:7.1f}"]
 
 
 def _report(record: _record.SoakRecord, seed: int, calm_s: float) -> int:
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -180,6 +180,14 @@
         )
         return int(reply.body)
 
+    def plain_addresses(self) -> list[str]:
+        """Returns the engines that serve requests without a prompt."""
+        return [
+            self._targets[engine_id.partition("-")[0]]
+            for engine_id, endpoint in self.endpoints.items()
+            if endpoint.service == self.plain
+        ]
+
     def journals(self) -> list[pathlib.Path]:
         """Returns the journals of all engines."""
         return sorted(self.folder.glob("*.journal"))
