--- a/packages/hollycart-bench/src/hollycart_bench/experiment/_loads.py
+++ b/packages/hollycart-bench/src/hollycart_bench/experiment/_loads.py
@@ -25,12 +25,9 @@
     )
 
 
-_ENGINE = routing.EngineParameters(
-    8, 450000, 46, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048
-)
 POOLS = {
-    "hinokuni": Pool(14, _ENGINE, _kinds(15.4, 1.12, 0.462)),
-    "guild": Pool(21, _ENGINE, _kinds(23.0, 1.67, 0.689)),
+    "hinokuni": Pool(14, virtual.PUBLISHED_ENGINE, _kinds(15.4, 1.12, 0.462)),
+    "guild": Pool(21, virtual.PUBLISHED_ENGINE, _kinds(23.0, 1.67, 0.689)),
 }
 # Length of each phase in seconds and factors on the rates by kind.
 PHASES: dict[str, list[tuple[float, dict[str, float]]]] = {
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -8,6 +8,7 @@
 import eventlet
 from eventlet import semaphore
 
+from hollycart_bench import virtual
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import placement
@@ -17,11 +18,7 @@
 _QUEUE = 16  # requests that wait for a slot at most
 # Time of the work of a request without a prompt, in ms.
 _WORK_MS = 60.0
-SLOTS = 8
-# The step model that both users publish.
-PARAMETERS = routing.EngineParameters(
-    SLOTS, 450000, 46, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048
-)
+SLOTS = virtual.PUBLISHED_ENGINE.slots
 _EVENTS_LEAST = 5
 _EVENTS_MORE = 20
 HELD_PATH = b"/control/held"
@@ -192,7 +189,7 @@
         journal: File that keeps what has run.
         prompts: Whether it reads prompts and answers with streams.
     """
-    parameters = PARAMETERS if prompts else None
+    parameters = virtual.PUBLISHED_ENGINE if prompts else None
     clock = base.SystemClock()
     SoakEngine(address, engine_id, parameters, SLOTS, journal, clock).start()
     while True:
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from hollycart_bench.soak import _configuration
 from hollycart_bench.soak import _record
 from hollycart_bench.soak import _system
 from hollycart_core import base
@@ -232,8 +233,8 @@
         return ""
 
     def _routes_moved(self) -> str:
-        self.system.plain = _system.PLAIN_SERVICES[1]
+        self.system.plain = _configuration.PLAIN_SERVICES[1]
         moved_ms = self.system.put_config()
-        self.record.moved.append((_system.PLAIN_SERVICES[0], moved_ms))
+        self.record.moved.append((_configuration.PLAIN_SERVICES[0], moved_ms))
         eventlet.sleep(_WATCHED_S)
         return ""
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -10,17 +10,15 @@
 from hollycart import gateway
 from hollycart_bench import fleet
 from hollycart_bench import ports
+from hollycart_bench.soak import _configuration
 from hollycart_bench.soak import _engine
 from hollycart_bench.soak import _proxy
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import http
 from hollycart_core import placement
-from hollycart_core import routing
 import hollycart_standins
 
-MODEL_SERVICE = "llm"
-PLAIN_SERVICES = ("app", "spare")
 _ZONES = ("a", "b", "c")
 _READY_S = 15.0
 _CALL_MS = 2000.0
@@ -53,7 +51,7 @@
         self.folder = folder
         self.version = 1
         self.keys = {f"team-{n}": f"key-{n}" for n in range(4)}
-        self.plain = PLAIN_SERVICES[0]
+        self.plain = _configuration.PLAIN_SERVICES[0]
         self.nodes: dict[str, _Node] = {}
         self.engines: dict[str, fleet.BenchProcess] = {}
         self.endpoints: dict[str, placement.Endpoint] = {}
@@ -78,8 +76,8 @@
         self._client.start()
         self._start_store()
         for number in range(self._model_engines):
-            self._add_engine(f"m{number}", MODEL_SERVICE, number)
-        for service in PLAIN_SERVICES:
+            self._add_engine(f"m{number}", _configuration.MODEL_SERVICE, number)
+        for service in _configuration.PLAIN_SERVICES:
             for number in range(2):
                 self._add_engine(f"{service}{number}", service, number)
         self.put_config()
@@ -102,13 +100,7 @@
 
     def put_config(self) -> float:
         """Writes the configuration; returns when it was acknowledged."""
-        cfg = routing.RoutingConfig(
-            self.version,
-            self._routes(),
-            [routing.Service(MODEL_SERVICE, 200, _engine.PARAMETERS)]
-            + [routing.Service(name, 200) for name in PLAIN_SERVICES],
-            [routing.Team(t, (k,)) for t, k in self.keys.items()],
-        )
+        cfg = _configuration.make_config(self.version, self.keys, self.plain)
         value = hollycart_standins.encode_config(cfg)
         self._put({hollycart_standins.config_key(): value})
         self.version += 7
@@ -192,36 +184,6 @@
         """Returns the journals of all engines."""
         return sorted(self.folder.glob("*.journal"))
 
-    def _routes(self) -> list[routing.Route]:
-        def route(
-            name: str,
-            kind: routing.RouteKind,
-            service: str,
-            timeout_ms: float,
-            target_ms: float,
-            attempts: int,
-        ) -> routing.Route:
-            stream = kind is routing.RouteKind.STREAMING
-            return routing.Route(
-                name,
-                "soak.example",
-                f"/{name}/",
-                kind,
-                (routing.RouteTarget(service, 1.0),),
-                timeout_ms,
-                target_ms,
-                max_pause_ms=400.0 if stream else 0.0,
-                max_attempts=attempts,
-                resumable=stream,
-            )
-
-        kinds = routing.RouteKind
-        return [
-            route("stream", kinds.STREAMING, MODEL_SERVICE, 10000, 3000, 2),
-            route("again", kinds.IDEMPOTENT, self.plain, 3000, 400, 2),
-            route("once", kinds.NON_IDEMPOTENT, self.plain, 3000, 400, 1),
-        ]
-
     def _start_store(self) -> None:
         port = ports.free_port()
         self._store_address = f"{ports.HOST}:{port}"
@@ -264,7 +226,9 @@
         self.put_endpoint(engine_id, False)
 
     def _run_engine(self, engine_id: str, target: str) -> None:
-        model = self.endpoints[engine_id].service == MODEL_SERVICE
+        model = (
+            self.endpoints[engine_id].service == _configuration.MODEL_SERVICE
+        )
         process = fleet.BenchProcess(
             engine_id,
             fleet.python_module(
--- a/packages/hollycart-bench/src/hollycart_bench/virtual/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/__init__.py
@@ -1,6 +1,7 @@
 """Plays prompts through engines and the placement under virtual time."""
 
 from hollycart_bench.virtual._engine import VirtualEngine
+from hollycart_bench.virtual._load import PUBLISHED_ENGINE
 from hollycart_bench.virtual._load import Arrival
 from hollycart_bench.virtual._load import PromptKind
 from hollycart_bench.virtual._load import draw_arrivals
@@ -12,6 +13,7 @@
 from hollycart_bench.virtual._play import share_on_time
 
 __all__ = [
+    "PUBLISHED_ENGINE",
     "Arrival",
     "MakePolicy",
     "Outcome",
--- a/packages/hollycart-bench/src/hollycart_bench/virtual/_load.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/_load.py
@@ -4,6 +4,13 @@
 import random
 from typing import NamedTuple
 
+from hollycart_core import routing
+
+# The step model that both users publish.
+PUBLISHED_ENGINE = routing.EngineParameters(
+    8, 450000, 46, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048
+)
+
 
 class PromptKind(NamedTuple):
     """A kind of prompt.
--- a/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/tests/test_virtual.py
@@ -5,11 +5,8 @@
 import pytest
 
 from hollycart_bench import virtual
-from hollycart_core import routing
 
-PARAMETERS = routing.EngineParameters(
-    8, 450000, 46, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048
-)
+PARAMETERS = virtual.PUBLISHED_ENGINE
 SHORT = virtual.PromptKind(
     "short", 15.4, 4960, 0.9, 23800, 1600, 300, 200, 10000
 )
