--- a/packages/hollycart-bench/src/hollycart_bench/prove/_monitor.py
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_monitor.py
@@ -5,6 +5,7 @@
 import eventlet
 import msgspec
 
+from hollycart_bench import checks
 from hollycart_bench import fleet
 from hollycart_bench import load
 from hollycart_bench.prove import _failures
@@ -32,7 +33,7 @@
         self,
         system: fleet.Fleet,
         client: load.LoadClient,
-        verdict: _record.Verdict,
+        verdict: checks.Verdict,
     ) -> None:
         self.system = system
         self.client = client
@@ -104,7 +105,7 @@
         self,
         system: fleet.Fleet,
         record: _record.RunRecord,
-        verdict: _record.Verdict,
+        verdict: checks.Verdict,
     ) -> None:
         self.system = system
         self.record = record
--- a/packages/hollycart-bench/src/hollycart_bench/prove/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_record.py
@@ -20,30 +20,6 @@
     end_ms: float
 
 
-class Verdict:
-    """Checks made and violations found for one point.
-
-    Args:
-        name: The point.
-    """
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.checks = 0
-        self.violations: list[str] = []
-
-    def check(self, condition: bool, detail: str) -> None:
-        """Counts a check and notes a violation."""
-        self.checks += 1
-        if not condition:
-            self.violations.append(detail)
-
-    @property
-    def passed(self) -> bool:
-        """Whether checks were made and none failed."""
-        return self.checks > 0 and not self.violations
-
-
 class RunRecord:
     """Failures and their intervals."""
 
--- a/packages/hollycart-bench/src/hollycart_bench/prove/_runner.py
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_runner.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from hollycart_bench import checks
 from hollycart_bench import fleet
 from hollycart_bench import load
 from hollycart_bench.prove import _failures
@@ -62,7 +63,7 @@
             "graceful",
             "table",
         )
-        self.verdicts = {name: _record.Verdict(name) for name in names}
+        self.verdicts = {name: checks.Verdict(name) for name in names}
 
     def run(self) -> int:
         """Runs to the end; returns zero only if every point holds."""
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from hollycart_bench import checks
 from hollycart_bench.soak import _record
 
 # Bounds of the platform's rules, in ms.
@@ -12,6 +13,7 @@
 _GONE_MS = 500.0
 # Error of the comparison of two processes' clocks and of a busy machine.
 _SLACK_MS = 250.0
+_SHOWN = 5  # of what broke a promise
 # Faults after which an instance may leave its callers without an answer.
 _BREAKING = frozenset(("kill", "freeze"))
 _FAILED = (502, 504)
@@ -39,31 +41,15 @@
 _CALM_MS = 4000.0  # nothing is disturbed any more after this time
 
 
-class Verdict:
-    """Checks made and violations found for one promise.
+class _Verdicts(dict[str, checks.Verdict]):
+    """Makes a verdict when its promise is first judged."""
 
-    Attributes:
-        checks: Number of checks.
-        violations: What was broken, in words.
-    """
-
-    def __init__(self) -> None:
-        self.checks = 0
-        self.violations: list[str] = []
-
-    def check(self, holds: bool, detail: str) -> None:
-        """Counts a check and notes a violation."""
-        self.checks += 1
-        if not holds:
-            self.violations.append(detail)
-
-    @property
-    def passed(self) -> bool:
-        """Whether checks were made and none failed."""
-        return self.checks > 0 and not self.violations
+    def __missing__(self, name: str) -> checks.Verdict:
+        self[name] = checks.Verdict(name)
+        return self[name]
 
 
-def judge(record: _record.SoakRecord) -> dict[str, Verdict]:
+def judge(record: _record.SoakRecord) -> dict[str, checks.Verdict]:
     """Returns a verdict for each promise.
 
     Args:
@@ -83,7 +69,7 @@
     for line in record.lines:
         if line.what == "run":
             runs[line.request_id].append(line)
-    verdicts: dict[str, Verdict] = collections.defaultdict(Verdict)
+    verdicts = _Verdicts()
     for call in record.calls:
         _judge_call(call, runs[call.request_id], record, verdicts)
     if record.leaving:
@@ -106,7 +92,7 @@
     call: _record.Call,
     runs: list[_record.EngineLine],
     record: _record.SoakRecord,
-    verdicts: dict[str, Verdict],
+    verdicts: dict[str, checks.Verdict],
 ) -> None:
     name = call.request_id
     if call.kind == "once":
@@ -153,33 +139,29 @@
         )
 
 
-def _judge_leaving(record: _record.SoakRecord, verdict: Verdict) -> None:
+def _judge_leaving(record: _record.SoakRecord, verdict: checks.Verdict) -> None:
     for engine, acked_ms in record.leaving:
-        bound_ms = acked_ms + _LEAVING_MS + _SLACK_MS
-        late = [
-            round(line.at_ms - acked_ms)
-            for line in record.lines
-            if line.engine == engine
-            and line.what == "run"
-            and line.at_ms > bound_ms
-        ]
-        verdict.check(not late, f"{engine} got work {late[:5]} ms on")
+        runs = [x for x in record.lines if x.engine == engine]
+        late = _late(runs, acked_ms, _LEAVING_MS + _SLACK_MS)
+        verdict.check(not late, f"{engine} got work {late} ms on")
 
 
-def _judge_revoked(record: _record.SoakRecord, verdict: Verdict) -> None:
+def _judge_revoked(record: _record.SoakRecord, verdict: checks.Verdict) -> None:
     for team, acked_ms in record.revoked:
-        bound_ms = acked_ms + _REVOKED_MS
-        late = [
-            round(line.at_ms - acked_ms)
-            for line in record.lines
-            if line.team == team
-            and line.what == "run"
-            and line.at_ms > bound_ms
-        ]
-        verdict.check(not late, f"{team} ran {late[:5]} ms on")
+        runs = [x for x in record.lines if x.team == team]
+        late = _late(runs, acked_ms, _REVOKED_MS)
+        verdict.check(not late, f"{team} ran {late} ms on")
+
+
+def _late(
+    lines: list[_record.EngineLine], acked_ms: float, bound_ms: float
+) -> list[int]:
+    """Returns when the first few runs beyond a bound came, in ms."""
+    times = [round(x.at_ms - acked_ms) for x in lines if x.what == "run"]
+    return [t for t in times if t > bound_ms][:_SHOWN]
 
 
-def _judge_moved(record: _record.SoakRecord, verdict: Verdict) -> None:
+def _judge_moved(record: _record.SoakRecord, verdict: checks.Verdict) -> None:
     """No request that was sent later runs at the former service."""
     began_ms = {c.request_id: c.began_ms for c in record.calls}
     for service, acked_ms in record.moved:
@@ -191,10 +173,10 @@
             and began_ms.get(line.request_id, 0.0)
             > acked_ms + _APPLY_MS + _SLACK_MS
         ]
-        verdict.check(not late, f"{service} still runs {late[:5]}")
+        verdict.check(not late, f"{service} still runs {late[:_SHOWN]}")
 
 
-def _judge_gone(record: _record.SoakRecord, verdict: Verdict) -> None:
+def _judge_gone(record: _record.SoakRecord, verdict: checks.Verdict) -> None:
     """No work begins or goes on long after its caller has left."""
     lines = collections.defaultdict(list)
     for line in record.lines:
@@ -211,7 +193,7 @@
         verdict.check(not late, f"{call.request_id}: {late}")
 
 
-def _judge_calm(record: _record.SoakRecord, verdict: Verdict) -> None:
+def _judge_calm(record: _record.SoakRecord, verdict: checks.Verdict) -> None:
     calm = [c for c in record.calls if not c.left and _calm(c, record)]
     calm = [c for c in calm if c.team not in {t for t, _ in record.revoked}]
     served = sum(c.complete and 200 <= c.status < 300 for c in calm)
