--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -10,6 +10,7 @@
 from hollycart_bench.soak import _record
 from hollycart_bench.soak import _system
 from hollycart_core import base
+import hollycart_standins
 
 _FREEZE_S = 3.0
 _CUT_S = 3.0
@@ -118,10 +119,8 @@
     def _reload(self) -> str:
         name = self._node()
         node = self.system.nodes[name]
-        text = node.path.read_text()
-        node.path.write_text(
-            text.replace("budget-slack = 100", "budget-slack = 90")
-        )
+        cfg = node.cfg._replace(retry_slack=node.cfg.retry_slack - 10.0)
+        node.path.write_text(hollycart_standins.encode_settings(cfg))
         node.process.signal(signal.SIGHUP)
         eventlet.sleep(_DOWN_S)
         return name
