Read-through of the change: twins and dead code in soak and command line

Freezing stands once. - The proxy listens by eventlet.listen, as the relay of fleet does. - SoakSystem.close ended processes one by one with a wait after each, so that a broken-off wait left the rest behind (seen once: 14 processes of the first soak). All are ended first, as Fleet.close does. Ruled out as twins: Decision types, stand-in commands, constructors (shape only). Left: fleet's CuttableRelay and the soak's Proxy are kin (one refuses, the other hangs); one in place of both changes what make recover plays.

--- a/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
@@ -6,7 +6,6 @@
 """
 
 from hollycart_bench.soak._engine import SoakEngine
-from hollycart_bench.soak._engine import run_engine
 from hollycart_bench.soak._judge import PROMISES
 from hollycart_bench.soak._judge import judge
 from hollycart_bench.soak._proxy import Proxy
@@ -25,6 +24,5 @@
     "SoakEngine",
     "SoakRecord",
     "judge",
-    "run_engine",
     "run_soak",
 ]
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
@@ -15,7 +15,6 @@
 # Time after the end of its waiting for which a caller looks whether an answer
 # comes all the same, in ms.
 _OVERTIME_MS = 1500.0
-_MAX_BYTES = 1 << 20
 # Shares of requests by kind and of callers that leave early.
 _KINDS = ("stream", "stream", "again", "once")
 _LEAVE_SHARE = 0.05
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -5,10 +5,8 @@
 from typing import Any
 from typing import NamedTuple
 
-import eventlet
 from eventlet import semaphore
 
-from hollycart_bench import virtual
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import placement
@@ -18,7 +16,6 @@
 _QUEUE = 16  # requests that wait for a slot at most
 # Time of the work of a request without a prompt, in ms.
 _WORK_MS = 60.0
-SLOTS = virtual.PUBLISHED_ENGINE.slots
 _EVENTS_LEAST = 5
 _EVENTS_MORE = 20
 HELD_PATH = b"/control/held"
@@ -176,21 +173,3 @@
     return hashlib.blake2b(
         f"{request_id}/{number}".encode(), digest_size=16
     ).hexdigest()
-
-
-def run_engine(
-    address: str, engine_id: str, journal: pathlib.Path, prompts: bool
-) -> None:
-    """Runs an engine until the process ends.
-
-    Args:
-        address: `IP:PORT` to listen on.
-        engine_id: Id of its lifetime.
-        journal: File that keeps what has run.
-        prompts: Whether it reads prompts and answers with streams.
-    """
-    parameters = virtual.PUBLISHED_ENGINE if prompts else None
-    clock = base.SystemClock()
-    SoakEngine(address, engine_id, parameters, SLOTS, journal, clock).start()
-    while True:
-        eventlet.sleep(3600)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from hollycart_bench import fleet
 from hollycart_bench.soak import _configuration
 from hollycart_bench.soak import _record
 from hollycart_bench.soak import _system
@@ -75,13 +76,9 @@
         for kind, inject in kinds:
             eventlet.sleep(_REST_S)
             began_ms = self.clock.wall_ms()
-            place = len(self.record.faults)
-            # Open while it lasts, so that calls that end meanwhile are judged
-            # with it.
             target = inject()
-            self.record.faults.insert(
-                place,
-                _record.Fault(kind, target, began_ms, self.clock.wall_ms()),
+            self.record.faults.append(
+                _record.Fault(kind, target, began_ms, self.clock.wall_ms())
             )
 
     def _node(self) -> str:
@@ -101,10 +98,7 @@
 
     def _freeze(self) -> str:
         name = self._node()
-        process = self.system.nodes[name].process
-        process.signal(signal.SIGSTOP)
-        eventlet.sleep(_FREEZE_S)
-        process.signal(signal.SIGCONT)
+        _pause(self.system.nodes[name].process)
         return name
 
     def _stop(self) -> str:
@@ -135,10 +129,7 @@
 
     def _engine_freeze(self) -> str:
         engine = self._engine()
-        process = self.system.engines[engine]
-        process.signal(signal.SIGSTOP)
-        eventlet.sleep(_FREEZE_S)
-        process.signal(signal.SIGCONT)
+        _pause(self.system.engines[engine])
         return engine
 
     def _engine_cut(self) -> str:
@@ -237,3 +228,9 @@
         self.record.moved.append((_configuration.PLAIN_SERVICES[0], moved_ms))
         eventlet.sleep(_WATCHED_S)
         return ""
+
+
+def _pause(process: fleet.BenchProcess) -> None:
+    process.signal(signal.SIGSTOP)
+    eventlet.sleep(_FREEZE_S)
+    process.signal(signal.SIGCONT)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_proxy.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_proxy.py
@@ -36,11 +36,7 @@
     def start(self) -> None:
         """Begins to accept."""
         host, _, port = self.address.rpartition(":")
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, int(port)))
-        listener.listen(_BACKLOG)
-        self._listener = listener
+        self._listener = eventlet.listen((host, int(port)), backlog=_BACKLOG)
         self._acceptor = eventlet.spawn(self._accept)
 
     def close(self) -> None:
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -10,6 +10,7 @@
 from hollycart import gateway
 from hollycart_bench import fleet
 from hollycart_bench import ports
+from hollycart_bench import virtual
 from hollycart_bench.soak import _configuration
 from hollycart_bench.soak import _engine
 from hollycart_bench.soak import _proxy
@@ -21,6 +22,7 @@
 
 _ZONES = ("a", "b", "c")
 _READY_S = 15.0
+_END_S = 5.0
 _CALL_MS = 2000.0
 
 
@@ -93,9 +95,13 @@
         started += list(self.engines.values())
         if self._store is not None:
             started.append(self._store)
+        # Each is ended before any is waited for: nothing stays behind if a
+        # wait is broken off.
         for process in started:
             process.signal(signal.SIGCONT)
-            process.kill()
+            process.signal(signal.SIGKILL)
+        for process in started:
+            process.wait(_END_S)
         self._client.close()
 
     def put_config(self) -> float:
@@ -220,7 +226,7 @@
             proxy.address,
             service,
             _ZONES[number % len(_ZONES)],
-            _engine.SLOTS,
+            virtual.PUBLISHED_ENGINE.slots,
         )
         self._run_engine(engine_id, target)
         self.put_endpoint(engine_id, False)
--- a/packages/hollycart-bench/src/hollycart_bench/standin.py
+++ b/packages/hollycart-bench/src/hollycart_bench/standin.py
@@ -14,6 +14,7 @@
 from hollycart_bench import engine
 from hollycart_bench import platform
 from hollycart_bench import soak
+from hollycart_bench import virtual
 from hollycart_core import base
 from hollycart_core import http
 import hollycart_standins
@@ -131,7 +132,15 @@
         journal: File that keeps what has run.
         prompts: Whether it reads prompts and answers with streams.
     """
-    soak.run_engine(address, engine_id, pathlib.Path(journal), prompts)
+    soak.SoakEngine(
+        address,
+        engine_id,
+        virtual.PUBLISHED_ENGINE if prompts else None,
+        virtual.PUBLISHED_ENGINE.slots,
+        pathlib.Path(journal),
+        base.SystemClock(),
+    ).start()
+    _sleep_forever()
 
 
 def _serve(app: Callable, host: str, port: int) -> None:
--- a/packages/hollycartctl/src/hollycartctl/main.py
+++ b/packages/hollycartctl/src/hollycartctl/main.py
@@ -5,6 +5,7 @@
 the change was accepted, 6 accepted but no instance could be told.
 """
 
+from collections.abc import Sequence
 import pathlib
 import sys
 from typing import Any
@@ -71,12 +72,7 @@
         files: Log files of the instances; none reads standard input.
         json: Print JSON.
     """
-    texts: list[str] = []
-    for file in files:
-        texts += _read(file).splitlines()
-    if not files:
-        texts = sys.stdin.read().splitlines()
-    found = diagnosis.explain(request_id, diagnosis.read_lines(texts))
+    found = diagnosis.explain(request_id, _read_decisions(files))
     if found is None:
         sys.stderr.write(f"no line names request {request_id}\n")
         sys.exit(EXIT_INVALID)
@@ -109,12 +105,7 @@
         files: Log files of the instances; none reads standard input.
         metrics: Files that hold what the metrics addresses returned.
     """
-    texts: list[str] = []
-    for file in files:
-        texts += _read(file).splitlines()
-    if not files:
-        texts = sys.stdin.read().splitlines()
-    found = diagnosis.summarize(diagnosis.read_lines(texts))
+    found = diagnosis.summarize(_read_decisions(files))
     if found is None:
         sys.stderr.write("no line holds a decision\n")
         sys.exit(EXIT_INVALID)
@@ -283,6 +274,16 @@
         sys.exit(_EXIT_CODES.get(type(exc), EXIT_INVALID))
 
 
+def _read_decisions(
+    files: Sequence[pathlib.Path],
+) -> list[diagnosis.LogLine]:
+    """Returns the decisions in log files, or in standard input if none."""
+    texts = [text for file in files for text in _read(file).splitlines()]
+    if not files:
+        texts = sys.stdin.read().splitlines()
+    return diagnosis.read_lines(texts)
+
+
 def _report(applied: operations.Applied, json: bool) -> None:
     if json:
         _print_json(applied._asdict())
