--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -1,9 +1,15 @@
 """Predicts the load of model engines and places prompts on them."""
 
+from hollycart_core.placement._cell_directory import CellDirectory
+from hollycart_core.placement._cell_directory import CellReport
+from hollycart_core.placement._cells import Cell
+from hollycart_core.placement._cells import cell_name
+from hollycart_core.placement._cells import group_zones
 from hollycart_core.placement._engine_model import EngineModel
 from hollycart_core.placement._health import EndpointHealth
 from hollycart_core.placement._least_busy import least_busy
 from hollycart_core.placement._load_view import LoadView
+from hollycart_core.placement._offers import max_remote_loss
 from hollycart_core.placement._placer import Placer
 from hollycart_core.placement._retry_budget import SharedRetryBudget
 from hollycart_core.placement._types import Assignment
@@ -13,6 +19,9 @@
 from hollycart_core.placement._types import Reservation
 
 __all__ = [
+    "Cell",
+    "CellDirectory",
+    "CellReport",
     "Endpoint",
     "EndpointHealth",
     "EngineModel",
@@ -23,5 +32,8 @@
     "Reservation",
     "SharedRetryBudget",
     "Assignment",
+    "cell_name",
+    "group_zones",
     "least_busy",
+    "max_remote_loss",
 ]
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -77,6 +77,23 @@
         )
         return search.run()
 
+    def count_open(
+        self, endpoints: Iterable[_types.Endpoint], now_ms: float
+    ) -> int:
+        """Returns the number of usable endpoints with room for a prompt.
+
+        They have a free slot and no prefill.
+        """
+        count = 0
+        for endpoint in endpoints:
+            if not self.health.usable(endpoint.id, now_ms):
+                continue
+            assigned = self.view.on_endpoint(endpoint.id)
+            decodes = sum(a.decoding and a.primary for a in assigned)
+            if decodes < endpoint.slots and all(a.decoding for a in assigned):
+                count += 1
+        return count
+
     def expected_decode_step_ms(
         self, endpoint: str, model: _engine_model.EngineModel
     ) -> float | None:
--- a/packages/hollycart/src/hollycart/gateway/__init__.py
+++ b/packages/hollycart/src/hollycart/gateway/__init__.py
@@ -5,6 +5,7 @@
 the types of `hollycart_core`.
 """
 
+from hollycart.gateway._address_book import InstanceAddress
 from hollycart.gateway._codec import AttemptMeta
 from hollycart.gateway._codec import RequestCodec
 from hollycart.gateway._codec import RequestMeta
@@ -18,6 +19,7 @@
     "AttemptMeta",
     "Gateway",
     "GatewaySettings",
+    "InstanceAddress",
     "RequestCodec",
     "RequestMeta",
     "ResponseMeta",
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from hollycart.gateway import _address_book
+from hollycart.gateway import _delegator
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
 from hollycart.gateway import _state
@@ -21,6 +23,8 @@
         platform_state: Endpoints in force.
         placer: Chooses endpoints for prompts.
         health: Health of the endpoints.
+        book: Division of the fleet into cells.
+        delegator: Offers prompts to other cells.
         zone: Availability zone of this instance.
 
     Attributes:
@@ -32,11 +36,15 @@
         platform_state: _state.PlatformState,
         placer: placement.Placer,
         health: placement.EndpointHealth,
+        book: _address_book.AddressBook,
+        delegator: _delegator.Delegator,
         zone: str,
     ) -> None:
         self.platform_state = platform_state
         self.placer = placer
         self.health = health
+        self.book = book
+        self.delegator = delegator
         self.zone = zone
         self.in_flight: collections.Counter[str] = collections.Counter()
         self._models: dict[routing.EngineParameters, placement.EngineModel] = {}
@@ -57,28 +65,111 @@
             MemoryUnavailableError: If no endpoints have enough KV-cache memory
                 now.
         """
-        candidates = self._candidates(
-            request.service.name, progress.excluded, now_ms
-        )
-        if request.service.engine is None or not request.meta.prompt_tokens:
+        service = request.service
+        if service.engine is None or not request.meta.prompt_tokens:
             endpoint = placement.least_busy(
-                candidates, self.in_flight, self.zone
+                self._candidates(service.name, progress.excluded, now_ms),
+                self.in_flight,
+                self.zone,
             )
             assert endpoint is not None
             return placement.Placement(endpoint, (), (), 0.0, 0.0)
+        model = self.model(service.engine)
+        prompt = self._make_prompt(request, progress, attempt_id, now_ms)
+        own = self.place_in_cell(service, prompt, progress.excluded, now_ms)
+        chosen = (
+            self.delegator.offer(
+                request.meta.request_id,
+                service.name,
+                prompt,
+                progress.excluded,
+                own,
+            )
+            or own
+        )
+        if chosen is None:
+            candidates = self._candidates(
+                service.name, progress.excluded, now_ms
+            )
+            # The endpoints of other cells are used without knowing their load
+            # only if there is no other way.
+            if self.book.other_cells:
+                chosen = self.placer.choose(prompt, model, candidates, now_ms)
+        if chosen is None:
+            raise _failures.MemoryUnavailableError(
+                "no endpoints with KV-cache memory for "
+                f"{prompt.tokens} prompt tokens",
+                _failures.RETRY_AFTER_MS,
+            )
+        retry_after_ms = chosen.retry_after_ms(prompt)
+        if retry_after_ms is not None and not progress.may_have_executed:
+            raise base.OverloadedError(
+                f"first event in {chosen.first_event_ms:.0f} ms, "
+                f"caller leaves in {prompt.remaining_ms:.0f} ms",
+                retry_after_ms,
+            )
+        return chosen
+
+    def place_in_cell(
+        self,
+        service: routing.Service,
+        prompt: placement.Prompt,
+        excluded: set[str],
+        now_ms: float,
+    ) -> placement.Placement | None:
+        """Returns the best placement in the own cell, if there is one.
+
+        Args:
+            service: Service of the prompt.
+            prompt: The prompt.
+            excluded: Ids of endpoints that are not to be tried.
+            now_ms: Current instant.
+        """
+        assert service.engine is not None
+        usable = [
+            e
+            for e in self._listed(service.name)
+            if e.id not in excluded and self.book.is_in_cell(e.zone)
+        ]
+        healthy = [e for e in usable if self.health.usable(e.id, now_ms)]
+        return self.placer.choose(
+            prompt, self.model(service.engine), healthy or usable, now_ms
+        )
+
+    def count_open_endpoints(self, now_ms: float) -> dict[str, int]:
+        """Returns the number of open endpoints of the own cell, by service."""
+        cfg = self.platform_state.config
+        if cfg is None:
+            return {}
+        return {
+            name: self.placer.count_open(
+                [e for e in self._listed(name) if self.book.is_in_cell(e.zone)],
+                now_ms,
+            )
+            for name, service in cfg.services.items()
+            if service.engine is not None
+        }
+
+    def _make_prompt(
+        self,
+        request: _job.AdmittedRequest,
+        progress: _job.Progress,
+        attempt_id: str,
+        now_ms: float,
+    ) -> placement.Prompt:
+        assert request.service.engine is not None
         elapsed_ms = now_ms - request.exchange.received_ms
         last_activity_ms = (
             progress.last_event_ms or request.exchange.received_ms
         )
-        model = self.model(request.service.engine)
-        decode_ms = _RESERVED_DECODE_SHARE * model.decode_ms(
-            request.meta.output_tokens
-        )
+        decode_ms = _RESERVED_DECODE_SHARE * self.model(
+            request.service.engine
+        ).decode_ms(request.meta.output_tokens)
         abandon_at_ms = min(
             request.deadline_ms - decode_ms,
             last_activity_ms + request.route.abandon_after_ms,
         )
-        prompt = placement.Prompt(
+        return placement.Prompt(
             attempt_id,
             request.meta.prompt_tokens,
             request.meta.output_tokens,
@@ -87,21 +178,6 @@
             request.route.max_gap_ms,
             self.zone,
         )
-        chosen = self.placer.choose(prompt, model, candidates, now_ms)
-        if chosen is None:
-            raise _failures.MemoryUnavailableError(
-                "no endpoints with KV-cache memory for "
-                f"{prompt.tokens} prompt tokens",
-                _failures.RETRY_AFTER_MS,
-            )
-        retry_after_ms = chosen.retry_after_ms(prompt)
-        if retry_after_ms is not None and not progress.may_have_executed:
-            raise base.OverloadedError(
-                f"first event in {chosen.first_event_ms:.0f} ms, "
-                f"caller leaves in {prompt.remaining_ms:.0f} ms",
-                retry_after_ms,
-            )
-        return chosen
 
     def model(
         self, parameters: routing.EngineParameters
@@ -132,11 +208,7 @@
     def _candidates(
         self, service: str, excluded: set[str], now_ms: float
     ) -> list[placement.Endpoint]:
-        usable = [
-            e
-            for e in self.platform_state.endpoints.values()
-            if e.service == service and not e.leaving and e.id not in excluded
-        ]
+        usable = [e for e in self._listed(service) if e.id not in excluded]
         if not usable:
             raise base.NoEndpointError(
                 f"no endpoint of service {service} left to try",
@@ -144,3 +216,10 @@
             )
         healthy = [e for e in usable if self.health.usable(e.id, now_ms)]
         return healthy or usable
+
+    def _listed(self, service: str) -> list[placement.Endpoint]:
+        return [
+            e
+            for e in self.platform_state.endpoints.values()
+            if e.service == service and not e.leaving
+        ]
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/_delegate.py
@@ -0,0 +1,133 @@
+"""Places prompts of other cells in the own cell."""
+
+from absl import logging
+
+from hollycart.gateway import _chooser
+from hollycart.gateway import _messages
+from hollycart.gateway import _peers
+from hollycart.gateway import _state
+from hollycart_core import base
+from hollycart_core import placement
+
+_EXPIRY_INTERVAL_MS = 1000.0
+# A delegated attempt whose end was not reported is dropped after this multiple
+# of its predicted duration: the instance that runs it may have failed.
+_EXPIRY_FACTOR = 2.0
+
+
+class Delegate:
+    """Answers the offers of other cells.
+
+    A prompt that is accepted is announced in the own cell at once, and counts
+    there until its end is reported or overdue.
+
+    Args:
+        peers: Exchange of datagrams with the other instances.
+        chooser: Places prompts in the own cell.
+        platform_state: Configuration in force.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        peers: _peers.PeerExchange,
+        chooser: _chooser.EndpointChooser,
+        platform_state: _state.PlatformState,
+        clock: base.Clock,
+    ) -> None:
+        self.peers = peers
+        self.chooser = chooser
+        self.platform_state = platform_state
+        self.clock = clock
+        self._overdue_ms: dict[str, float] = {}
+        self._task = base.PeriodicTask(
+            self.remove_overdue, _EXPIRY_INTERVAL_MS, clock, self._log_fault
+        )
+
+    def start(self) -> None:
+        """Starts to answer."""
+        self.peers.subscribe(_messages.PlacementRequest, self._handle_request)
+        self.peers.subscribe(_messages.DelegatedProgress, self._handle_progress)
+        self._task.start()
+
+    def close(self) -> None:
+        """Stops to remove overdue attempts."""
+        self._task.close()
+
+    def remove_overdue(self) -> None:
+        """Removes attempts whose end was not reported in time."""
+        now_ms = self.clock.now_ms()
+        for attempt_id, overdue_ms in list(self._overdue_ms.items()):
+            if now_ms >= overdue_ms:
+                self._remove(attempt_id)
+
+    def _handle_request(
+        self, message: _messages.PlacementRequest, ip: str
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        reply = _messages.PlacementReply(
+            self.peers.name,
+            message.attempt_id,
+            _messages.pack_report(self.peers.make_report(), now_ms),
+        )
+        chosen = self._place(message, now_ms)
+        if chosen is not None:
+            reply.assignments = _messages.pack(chosen.assignments, now_ms)
+            reply.first_event_ms = chosen.first_event_ms
+            reply.predicted_loss = chosen.predicted_loss
+            reply.send_delay_ms = chosen.send_delay_ms
+            reply.reservations = [
+                (r.endpoint.id, r.tokens) for r in chosen.reservations
+            ]
+        self.peers.send(reply, ip)
+
+    def _place(
+        self, message: _messages.PlacementRequest, now_ms: float
+    ) -> placement.Placement | None:
+        cfg = self.platform_state.config
+        service = cfg.services.get(message.service) if cfg else None
+        if service is None or service.engine is None:
+            return None
+        prompt = placement.Prompt(
+            message.attempt_id,
+            message.tokens,
+            message.output_tokens,
+            message.target_ms,
+            message.remaining_ms,
+            message.max_gap_ms,
+        )
+        chosen = self.chooser.place_in_cell(
+            service, prompt, set(message.excluded), now_ms
+        )
+        if (
+            chosen is None
+            or chosen.retry_after_ms(prompt) is not None
+            or chosen.predicted_loss > message.max_loss
+        ):
+            return None
+        duration_ms = chosen.first_event_ms + self.chooser.model(
+            service.engine
+        ).decode_ms(message.output_tokens)
+        self._overdue_ms[message.attempt_id] = (
+            now_ms + _EXPIRY_FACTOR * duration_ms
+        )
+        self.peers.add(chosen.assignments)
+        return chosen
+
+    def _handle_progress(
+        self, message: _messages.DelegatedProgress, ip: str
+    ) -> None:
+        del ip
+        if message.attempt_id not in self._overdue_ms:
+            return
+        if message.ended:
+            self._remove(message.attempt_id)
+        else:
+            self.peers.start_decoding(message.attempt_id)
+
+    def _remove(self, attempt_id: str) -> None:
+        del self._overdue_ms[attempt_id]
+        self.peers.remove(attempt_id)
+
+    def _log_fault(self, exc: Exception) -> None:
+        logging.error("unexpected error in delegated attempts: %r", exc)
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -0,0 +1,208 @@
+"""Has prompts placed by instances of other cells."""
+
+import random
+
+from eventlet import event
+
+from hollycart import observe
+from hollycart.gateway import _messages
+from hollycart.gateway import _peers
+from hollycart.gateway import _state
+from hollycart_core import base
+from hollycart_core import placement
+
+# Time for which a reply is awaited, in ms: a few round trips between zones and
+# the search for a placement. Small beside the shortest target.
+_REPLY_TIMEOUT_MS = 25.0
+# Number of the latest heard instances of a cell that are asked in turn.
+_MAX_CONTACTS = 8
+
+
+class Delegator:
+    """Offers prompts to other cells and announces the attempts' progress.
+
+    The instance that is asked places the prompt in its cell and announces it
+    there, as if the attempt were its own. Messages are never awaited for long:
+    without a reply the prompt is placed in the own cell.
+
+    Args:
+        peers: Exchange of datagrams with the other instances.
+        platform_state: Endpoints in force.
+        log: Decision log.
+        clock: Source of time.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        peers: _peers.PeerExchange,
+        platform_state: _state.PlatformState,
+        log: observe.DecisionLog,
+        clock: base.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.peers = peers
+        self.platform_state = platform_state
+        self.log = log
+        self.clock = clock
+        self.rng = rng
+        self._awaited: dict[str, event.Event] = {}
+        self._delegated: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Starts to receive replies."""
+        self.peers.subscribe(_messages.PlacementReply, self._handle_reply)
+
+    def offer(
+        self,
+        request_id: str,
+        service: str,
+        prompt: placement.Prompt,
+        excluded: set[str],
+        own: placement.Placement | None,
+    ) -> placement.Placement | None:
+        """Offers a prompt to another cell if the own one serves it badly.
+
+        Args:
+            request_id: Id of the request, for the log.
+            service: Service of the prompt.
+            prompt: The prompt.
+            excluded: Ids of endpoints that are not to be tried.
+            own: Best placement in the own cell; None if there is none.
+
+        Returns:
+            The placement in another cell; None if there is none, or none that
+            is better.
+        """
+        max_loss = placement.max_remote_loss(prompt, own)
+        if max_loss is None:
+            return None
+        started_ms = self.clock.now_ms()
+        directory = self.peers.directory
+        cell = directory.choose(
+            service, sorted(self.peers.book.other_cells), started_ms, self.rng
+        )
+        if cell is None:
+            return None
+        contacts = self.peers.book.of_cell(cell)[-_MAX_CONTACTS:]
+        if not contacts:
+            return None
+        ip = self.rng.choice(contacts)
+        directory.record_offer(cell, service)
+        reply = self._ask(ip, service, prompt, excluded, max_loss)
+        chosen = None
+        if reply is None:
+            self.peers.book.record_silence(ip)
+            outcome = "no_reply"
+        else:
+            self.peers.record_state(reply.state)
+            chosen = self._to_placement(reply, ip)
+            outcome = "placed" if chosen else "declined"
+        self.log.write(
+            observe.decisions.Offered(
+                request_id,
+                prompt.attempt_id,
+                cell,
+                ip,
+                outcome,
+                round(own.predicted_loss, 3) if own else None,
+                round(chosen.predicted_loss, 3) if chosen else None,
+                round(self.clock.now_ms() - started_ms, 1),
+            )
+        )
+        return chosen
+
+    def add(self, assignments: tuple[placement.Assignment, ...]) -> None:
+        """Announces a new attempt, unless it was placed by another cell."""
+        if assignments[0].attempt_id not in self._delegated:
+            self.peers.add(assignments)
+
+    def start_decoding(self, attempt_id: str) -> None:
+        """Announces that an attempt has started to decode."""
+        ip = self._delegated.get(attempt_id)
+        if ip is None:
+            self.peers.start_decoding(attempt_id)
+        else:
+            self._report_progress(attempt_id, ip, ended=False)
+
+    def remove(self, attempt_id: str) -> None:
+        """Announces the end of an attempt."""
+        ip = self._delegated.pop(attempt_id, None)
+        if ip is None:
+            self.peers.remove(attempt_id)
+        else:
+            self._report_progress(attempt_id, ip, ended=True)
+
+    def _ask(
+        self,
+        ip: str,
+        service: str,
+        prompt: placement.Prompt,
+        excluded: set[str],
+        max_loss: float,
+    ) -> _messages.PlacementReply | None:
+        replied = event.Event()
+        self._awaited[prompt.attempt_id] = replied
+        self.peers.send(
+            _messages.PlacementRequest(
+                self.peers.name,
+                prompt.attempt_id,
+                service,
+                prompt.tokens,
+                prompt.output_tokens,
+                prompt.target_ms,
+                prompt.remaining_ms,
+                prompt.max_gap_ms,
+                sorted(excluded),
+                max_loss,
+            ),
+            ip,
+        )
+        try:
+            reply: _messages.PlacementReply | None = replied.wait(
+                _REPLY_TIMEOUT_MS / 1000.0
+            )
+        finally:
+            del self._awaited[prompt.attempt_id]
+        return reply
+
+    def _handle_reply(self, reply: _messages.PlacementReply, ip: str) -> None:
+        replied = self._awaited.get(reply.attempt_id)
+        if replied is not None and not replied.ready():
+            replied.send(reply)
+        elif reply.assignments is not None:
+            # The reply is late: the prompt was placed elsewhere.
+            self._report_progress(reply.attempt_id, ip, ended=True)
+
+    def _to_placement(
+        self, reply: _messages.PlacementReply, ip: str
+    ) -> placement.Placement | None:
+        if reply.assignments is None:
+            return None
+        assignments = _messages.unpack(reply.assignments, self.clock.now_ms())
+        known = self.platform_state.endpoints
+        if any(
+            a.endpoint not in known or known[a.endpoint].leaving
+            for a in assignments
+        ):
+            self._report_progress(reply.attempt_id, ip, ended=True)
+            return None
+        self._delegated[reply.attempt_id] = ip
+        endpoints = [known[a.endpoint] for a in assignments]
+        return placement.Placement(
+            endpoints[0],
+            tuple(endpoints[1:]),
+            assignments,
+            reply.first_event_ms,
+            reply.predicted_loss,
+            tuple(
+                placement.Reservation(known[endpoint], tokens)
+                for endpoint, tokens in reply.reservations
+            ),
+            reply.send_delay_ms,
+        )
+
+    def _report_progress(self, attempt_id: str, ip: str, ended: bool) -> None:
+        self.peers.send(
+            _messages.DelegatedProgress(self.peers.name, attempt_id, ended), ip
+        )
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -1,6 +1,7 @@
 """Forwards requests: admission, placement, attempts, retries, response."""
 
 import itertools
+import random
 
 from absl import logging
 
@@ -9,6 +10,8 @@
 from hollycart.gateway import _attempt
 from hollycart.gateway import _chooser
 from hollycart.gateway import _codec
+from hollycart.gateway import _delegate
+from hollycart.gateway import _delegator
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
 from hollycart.gateway import _monitor
@@ -45,6 +48,7 @@
         log: Decision log.
         metrics: Receives counts and times.
         clock: Source of time.
+        rng: Source of randomness.
         zone: Availability zone of this instance.
         stall_ms: Time for which an engine waits for an unreachable engine,
             in ms.
@@ -62,6 +66,7 @@
         log: observe.DecisionLog,
         metrics: observe.Metrics,
         clock: base.Clock,
+        rng: random.Random,
         zone: str,
         stall_ms: float,
         hold_max_ms: float,
@@ -89,8 +94,15 @@
             peers.broadcast_suspect,
         )
         self.admission = _admission.Admission(platform_state, clock)
+        self.delegator = _delegator.Delegator(
+            peers, platform_state, log, clock, rng
+        )
         self.chooser = _chooser.EndpointChooser(
-            platform_state, placer, health, zone
+            platform_state, placer, health, peers.book, self.delegator, zone
+        )
+        peers.count_open_endpoints = self.chooser.count_open_endpoints
+        self._delegate = _delegate.Delegate(
+            peers, self.chooser, platform_state, clock
         )
         self._attempt_relay = _attempt.AttemptRelay(
             codec, self.monitor, self.dependencies, log, clock, stall_ms
@@ -98,12 +110,15 @@
         self._ids = itertools.count()
 
     def start(self) -> None:
-        """Starts the probes of endpoints."""
+        """Starts the probes of endpoints and the exchange with other cells."""
         self.monitor.start()
+        self.delegator.start()
+        self._delegate.start()
 
     def close(self) -> None:
         """Stops the probes and closes idle connections."""
         self.monitor.close()
+        self._delegate.close()
         self.pool.close()
 
     def handle(self, exchange: connections.Exchange) -> None:
@@ -161,7 +176,7 @@
             self.dependencies.drop_finished_helpers(
                 chosen.assignments[0].attempt_id, chosen.assignments
             )
-            self.peers.start_decoding(chosen.assignments[0].attempt_id)
+            self.delegator.start_decoding(chosen.assignments[0].attempt_id)
         total_ms = now_ms - request.exchange.received_ms
         team = request.team.name if request.team else ""
         self.metrics.record("first_event", team, request.route.name, total_ms)
@@ -243,7 +258,7 @@
         assert cfg is not None
         if cfg.find_route(request.meta.host, request.meta.path) is None:
             return False
-        service, instances = request.service.name, len(self.peers.live()) + 1
+        service, instances = request.service.name, self.peers.fleet_size()
         if not self.budget.take(service, now_ms, instances):
             self.metrics.count("retry_budget_empty")
             return False
@@ -275,7 +290,7 @@
         self._log_placement(request, chosen, attempt_id, now_ms)
         endpoint = chosen.endpoint
         if chosen.assignments:
-            self.peers.add(chosen.assignments)
+            self.delegator.add(chosen.assignments)
         self.chooser.in_flight[endpoint.id] += 1
         conn: connections.ClientConnection | None = None
         try:
@@ -301,7 +316,7 @@
             if chosen.reservations:
                 self.reserver.release(attempt_id, chosen.reservations)
             if chosen.assignments:
-                self.peers.remove(attempt_id)
+                self.delegator.remove(attempt_id)
 
     def _connect(
         self, endpoint: placement.Endpoint, request: _job.AdmittedRequest
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -1,5 +1,6 @@
 """A gateway instance: its components, their start and their shutdown."""
 
+import collections
 import random
 from typing import Any
 
@@ -7,6 +8,7 @@
 import eventlet
 
 from hollycart import observe
+from hollycart.gateway import _address_book
 from hollycart.gateway import _codec
 from hollycart.gateway import _forwarder
 from hollycart.gateway import _peers
@@ -31,8 +33,8 @@
 _CLOSE_MARGIN_MS = 500.0  # part of `grace_ms` kept for closing
 _DRAIN_POLL_MS = 50.0
 # Lease of the record by which other instances discover this one.
-_REGISTRATION_LEASE_MS = 9000.0
-_LEASE_RENEWAL_MS = 3000.0
+_REGISTRATION_LEASE_MS = 30000.0
+_LEASE_RENEWAL_MS = 10000.0
 
 
 class Gateway:
@@ -92,6 +94,7 @@
         self.peers = _peers.PeerExchange(
             cfg.name,
             cfg.ip,
+            cfg.zone,
             cfg.peer_port,
             view,
             health,
@@ -116,6 +119,7 @@
             self.log,
             self.metrics,
             clock,
+            self.rng,
             cfg.zone,
             cfg.stall_ms,
             cfg.hold_max_ms,
@@ -140,7 +144,7 @@
         Raises:
             OSError: If an address cannot be bound.
         """
-        self.peers.add_addresses(set(self.cfg.seed_ips))
+        self._add_seeds()
         self.peers.start()
         self.reader.start(self.peers)
         self._peer_server.start()
@@ -149,7 +153,7 @@
             self._metrics_server.start()
         self.forwarder.start()
         self.front_server.start()
-        self.reader.on_change = self._apply_limits
+        self.reader.on_change = self._apply_change
         self._threads = [eventlet.spawn(self._maintain_registration)]
         self.log.write(
             observe.decisions.Started(self.cfg.zone, self.cfg.front_address)
@@ -201,7 +205,7 @@
             n: old[n] for n in changed if n in _settings.RESTART_REQUIRED
         }
         self.cfg = cfg._replace(**deferred)
-        self.peers.add_addresses(set(cfg.seed_ips))
+        self._add_seeds()
         self.platform_state.freshness.max_age_ms = (
             cfg.revoke_ms - _REVOCATION_MARGIN_MS
         )
@@ -226,6 +230,30 @@
     def _schedule_probe(self, endpoint: str) -> None:
         self.forwarder.monitor.schedule_probe(endpoint)
 
+    def _add_seeds(self) -> None:
+        self.peers.add_addresses(
+            _address_book.InstanceAddress(ip, "") for ip in self.cfg.seed_ips
+        )
+
+    def _apply_change(self) -> None:
+        self._apply_limits()
+        self._apply_cells()
+
+    def _apply_cells(self) -> None:
+        """Divides the fleet into cells by the engines and instances listed."""
+        snapshot = self.platform_state.snapshot
+        if snapshot is None or snapshot.config is None:
+            return
+        services = snapshot.config.services
+        endpoints = collections.Counter(
+            e.zone
+            for e in snapshot.endpoints
+            if e.service in services and services[e.service].engine is not None
+        )
+        instances = collections.Counter(p.zone for p in snapshot.peers.values())
+        instances[self.cfg.zone] += 1
+        self.peers.set_cells(placement.group_zones(endpoints, instances))
+
     def _apply_limits(self) -> None:
         """Applies the configured limits on callers' requests."""
         cfg = self.platform_state.config
@@ -261,6 +289,11 @@
             "running": float(self.front_server.running),
             "ready": float(self.ready),
             "peers": float(len(self.peers.live())),
+            "fleet_instances": float(self.peers.fleet_size()),
+            "cell_zones": float(len(self.peers.book.cell)),
+            "other_cells": float(len(self.peers.book.other_cells)),
+            "datagrams_malformed": float(self.peers.malformed),
+            "load_updates_foreign": float(self.peers.foreign_updates),
             "endpoints": float(len(self.platform_state.endpoints)),
             "endpoints_unreachable": float(
                 len(self.forwarder.health.unreachable())
@@ -277,7 +310,7 @@
             for name in cfg.services:
                 values[f"retry_budget_left_{name}"] = (
                     self.forwarder.budget.left(
-                        name, now_ms, int(values["peers"]) + 1
+                        name, now_ms, int(values["fleet_instances"])
                     )
                 )
         return values
@@ -292,7 +325,12 @@
                     lease_id = self.store.grant_lease(
                         max(_REGISTRATION_LEASE_MS, self.cfg.lease_min_ms)
                     )
-                    put = self.decoder.encode_peer(self.cfg.name, self.cfg.ip)
+                    put = self.decoder.encode_peer(
+                        self.cfg.name,
+                        _address_book.InstanceAddress(
+                            self.cfg.ip, self.cfg.zone
+                        ),
+                    )
                     self.store.txn((), (put._replace(lease_id=lease_id),))
             except base.HollycartError as exc:
                 logging.info(
@@ -305,5 +343,9 @@
 
 def _read_schedule(cfg: _settings.GatewaySettings) -> _read_times.ReadSchedule:
     return _read_times.ReadSchedule.for_bound(
-        min(cfg.config_apply_ms, cfg.drain_ms)
+        min(
+            cfg.config_apply_ms,
+            cfg.drain_ms,
+            cfg.revoke_ms - _REVOCATION_MARGIN_MS,
+        )
     )
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -46,8 +46,25 @@
     endpoint_assignments: list[EndpointAssignment]
 
 
+class CellState(msgspec.Struct, array_like=True):
+    """Summary of a cell, as instances pass it on.
+
+    Attributes:
+        cell: Name of the cell.
+        instances: Number of its live instances.
+        open_endpoints: Number of endpoints with a free slot and without a
+            prefill, by service.
+        age_ms: Time since the summary was made, in whole ms, at the sending.
+    """
+
+    cell: str
+    instances: int
+    open_endpoints: dict[str, int]
+    age_ms: int
+
+
 class Heartbeat(msgspec.Struct, tag="h", array_like=True):
-    """Announces an instance and its whole load.
+    """Announces an instance and its whole load to its cell.
 
     Attributes:
         sender: Name of the instance.
@@ -57,6 +74,8 @@
         assignments: Its load by attempt.
         slow_endpoints: Slowness by id, for endpoints that are slower than
             their published speed.
+        zone: Availability zone of the instance.
+        other_cells: What the instance knows of the other cells.
     """
 
     sender: str
@@ -65,6 +84,22 @@
     running: int
     assignments: list[AttemptAssignments]
     slow_endpoints: dict[str, float] = {}
+    zone: str = ""
+    other_cells: list[CellState] = []
+
+
+class CellAnnouncement(msgspec.Struct, tag="n", array_like=True):
+    """Announces a cell to an instance of another cell.
+
+    Attributes:
+        sender: Name of the instance.
+        zone: Availability zone of the instance.
+        state: Summary of its cell.
+    """
+
+    sender: str
+    zone: str
+    state: CellState
 
 
 class LoadUpdate(msgspec.Struct, tag="l", array_like=True):
@@ -108,6 +143,8 @@
         revision: Store revision of the sender's state.
         config_revision: Store revision of the sender's configuration.
         digest: Digest of the sender's state.
+        peers_digest: Digest of the instances that the sender knows to be
+            registered.
     """
 
     sender: str
@@ -116,6 +153,7 @@
     revision: int
     config_revision: int
     digest: int
+    peers_digest: int = 0
 
 
 class StateChanged(msgspec.Struct, tag="c", array_like=True):
@@ -132,6 +170,77 @@
     endpoint: str
 
 
+class PlacementRequest(msgspec.Struct, tag="q", array_like=True):
+    """Asks an instance of another cell to place a prompt there.
+
+    The fields have the meaning of those of `placement.Prompt`.
+
+    Attributes:
+        sender: Name of the instance.
+        attempt_id: Id of the attempt.
+        service: Service of the prompt.
+        tokens: Prompt length, in tokens.
+        output_tokens: Expected length of the answer, in tokens.
+        target_ms: Time left until the first event is late, in ms.
+        remaining_ms: Time left until the caller abandons the request, in ms.
+        max_gap_ms: Longest acceptable gap between events, in ms.
+        excluded: Ids of endpoints that are not to be tried.
+        max_loss: Predicted loss above which the sender places the prompt
+            itself.
+    """
+
+    sender: str
+    attempt_id: str
+    service: str
+    tokens: int
+    output_tokens: int
+    target_ms: float
+    remaining_ms: float
+    max_gap_ms: float
+    excluded: list[str]
+    max_loss: float
+
+
+class PlacementReply(msgspec.Struct, tag="p", array_like=True):
+    """Replies to a `PlacementRequest`.
+
+    Attributes:
+        sender: Name of the instance.
+        attempt_id: Id of the attempt.
+        state: Summary of the sender's cell.
+        assignments: Assignments in the sender's cell, the primary's first;
+            None if the prompt was not placed.
+        first_event_ms: Predicted time to the first event, in ms.
+        predicted_loss: Predicted loss of the placement.
+        send_delay_ms: Time to wait before the prompt is sent, in ms.
+        reservations: Memory to reserve, in tokens, by endpoint.
+    """
+
+    sender: str
+    attempt_id: str
+    state: CellState
+    assignments: AttemptAssignments | None = None
+    first_event_ms: float = 0.0
+    predicted_loss: float = 0.0
+    send_delay_ms: float = 0.0
+    reservations: list[tuple[str, int]] = []
+
+
+class DelegatedProgress(msgspec.Struct, tag="g", array_like=True):
+    """Tells the instance that placed a prompt how its attempt proceeds.
+
+    Attributes:
+        sender: Name of the instance that runs the attempt.
+        attempt_id: Id of the attempt.
+        ended: Whether the attempt has ended; otherwise its first event was
+            received.
+    """
+
+    sender: str
+    attempt_id: str
+    ended: bool
+
+
 Message = (
     Heartbeat
     | LoadUpdate
@@ -139,6 +248,10 @@
     | FreshnessReply
     | StateChanged
     | EndpointSuspected
+    | CellAnnouncement
+    | PlacementRequest
+    | PlacementReply
+    | DelegatedProgress
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -229,3 +342,26 @@
         )
         for number, assignment in enumerate(announced.endpoint_assignments)
     )
+
+
+def pack_report(report: placement.CellReport, now_ms: float) -> CellState:
+    """Converts the summary of a cell for sending."""
+    return CellState(
+        report.cell,
+        report.instances,
+        report.open_endpoints,
+        round(now_ms - report.made_ms),
+    )
+
+
+def unpack_report(state: CellState, now_ms: float) -> placement.CellReport:
+    """Converts a received summary to the clock of this instance.
+
+    Example:
+        >>> report = placement.CellReport("a", 3, {"s": 2}, 5.0)
+        >>> unpack_report(pack_report(report, 9.0), 9.0) == report
+        True
+    """
+    return placement.CellReport(
+        state.cell, state.instances, state.open_endpoints, now_ms - state.age_ms
+    )
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -1,6 +1,7 @@
 """Exchanges load and freshness of the state with the other instances by UDP."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 from typing import Any
 from typing import NamedTuple
@@ -11,6 +12,7 @@
 import msgspec
 
 from hollycart import observe
+from hollycart.gateway import _address_book
 from hollycart.gateway import _messages
 from hollycart_core import base
 from hollycart_core import placement
@@ -42,12 +44,16 @@
 class PeerExchange:
     """Sends and receives the datagrams between instances.
 
-    Changes of load are batched for a few ms. Each heartbeat carries the whole
-    load of its sender, which repairs the view after lost datagrams.
+    Changes of load are batched for a few ms and sent to the instances of the
+    own cell. Each heartbeat carries the whole load of its sender, which repairs
+    the view after lost datagrams. Other cells are known by summaries: with each
+    heartbeat, an instance sends that of its cell to one instance elsewhere, and
+    shares those that it received with its cell.
 
     Args:
         name: Name of this instance.
         ip: IP address of this instance.
+        zone: Availability zone of this instance.
         port: UDP port, the same on all instances.
         view: Load of all instances; updated with that of the peers.
         health: Slowness of endpoints, which instances share.
@@ -63,12 +69,22 @@
             and the IP address of the peer.
         on_endpoint_suspected: Called with the id of an endpoint that a peer
             could not reach.
+
+    Attributes:
+        book: Addresses of the instances, divided by cells.
+        directory: Summaries of the other cells.
+        count_open_endpoints: Returns the number of endpoints of the own cell
+            with a free slot and without a prefill, by service, at an instant.
+        malformed: Number of datagrams that could not be decoded.
+        foreign_updates: Number of load updates from other cells: their senders
+            hold another division of the fleet.
     """
 
     def __init__(
         self,
         name: str,
         ip: str,
+        zone: str,
         port: int,
         view: placement.LoadView,
         health: placement.EndpointHealth,
@@ -85,6 +101,7 @@
     ) -> None:
         self.name = name
         self.ip = ip
+        self.zone = zone
         self.port = port
         self.view = view
         self.health = health
@@ -98,8 +115,15 @@
         self.on_endpoint_suspected = on_endpoint_suspected
         self.running = 0
         self.incarnation = rng.getrandbits(31)
+        self.book = _address_book.AddressBook(ip, zone)
+        self.directory = placement.CellDirectory()
+        self.count_open_endpoints: Callable[[float], dict[str, int]] = (
+            lambda now_ms: {}
+        )
+        self.malformed = 0
+        self.foreign_updates = 0
+        self._handlers: dict[type, Callable[[Any, str], None]] = {}
         self._peers: dict[str, _Peer] = {}
-        self._addresses: set[str] = set()
         self._sock: Any = None
         self._threads: list[Any] = []
         self._added: dict[str, tuple[placement.Assignment, ...]] = {}
@@ -130,16 +154,69 @@
             self._sock.close()
             self._sock = None
 
-    def add_addresses(self, ips: set[str]) -> None:
-        """Adds IP addresses of instances.
+    def subscribe(
+        self, message_type: type, handler: Callable[[Any, str], None]
+    ) -> None:
+        """Sets the handler of messages of a type.
+
+        Args:
+            message_type: Type of the messages.
+            handler: Called with a message and the IP address of its sender.
+        """
+        self._handlers[message_type] = handler
+
+    def add_addresses(
+        self, addresses: Iterable[_address_book.InstanceAddress]
+    ) -> None:
+        """Adds addresses of instances."""
+        now_ms = self.clock.now_ms()
+        for address in addresses:
+            self.book.add(address.ip, address.zone, now_ms)
+
+    def set_cells(self, cells: tuple[placement.Cell, ...]) -> None:
+        """Sets the cells of the fleet; forgets peers outside the own one."""
+        before = self.book.cell
+        self.book.set_cells(cells)
+        if self.book.cell == before:
+            return
+        self.log.write(
+            observe.decisions.CellChanged(
+                tuple(sorted(self.book.cell)), tuple(self.book.other_cells)
+            )
+        )
+        for name, peer in list(self._peers.items()):
+            if not self.book.is_in_cell(self.book.zone_of(peer.ip)):
+                del self._peers[name]
+                self.view.replace_instance(name, ())
+
+    def fleet_size(self) -> int:
+        """Returns the number of instances, with those of all other cells.
 
-        Addresses added before are kept until the set grows large; it is then
-        reduced to `ips` and the addresses of known peers.
+        An instance that is registered counts although it may have failed, so
+        that what the instances share out is never shared out twice.
         """
-        self._addresses |= ips - {self.ip}
-        if len(self._addresses) > 4 * max(8, len(ips) + len(self._peers)):
-            peer_ips = {peer.ip for peer in self._peers.values()}
-            self._addresses &= ips | peer_ips
+        now_ms = self.clock.now_ms()
+        return (
+            len(self.live())
+            + 1
+            + sum(
+                max(
+                    self.directory.instances(name, now_ms),
+                    len(self.book.of_cell(name)),
+                )
+                for name in self.book.other_cells
+            )
+        )
+
+    def make_report(self) -> placement.CellReport:
+        """Returns the summary of the own cell."""
+        now_ms = self.clock.now_ms()
+        return placement.CellReport(
+            self.book.cell_name,
+            len(self.live()) + 1,
+            self.count_open_endpoints(now_ms),
+            now_ms,
+        )
 
     def live(self) -> dict[str, bool]:
         """Returns for each live peer, by name, whether it reads the store."""
@@ -180,18 +257,22 @@
         self._send(message, ips)
 
     def broadcast_state_changed(self, digest: int) -> None:
-        """Announces to all instances that the state has changed here."""
+        """Announces to the cell that the state has changed here."""
         self._send(_messages.StateChanged(self.name, digest), self.addresses())
 
     def broadcast_suspect(self, endpoint: str) -> None:
-        """Announces to all instances that an endpoint could not be reached."""
+        """Announces to the cell that an endpoint could not be reached."""
         self._send(
             _messages.EndpointSuspected(self.name, endpoint), self.addresses()
         )
 
     def addresses(self) -> list[str]:
         """Returns the IP addresses that datagrams are broadcast to."""
-        return sorted(self._addresses)
+        return self.book.in_cell()
+
+    def send(self, message: _messages.Message, ip: str) -> None:
+        """Sends a message to one instance."""
+        self._send(message, [ip])
 
     def _schedule_flush(self) -> None:
         if not self._flush_scheduled:
@@ -215,6 +296,7 @@
         while True:
             self.send_heartbeat()
             self._remove_lost_peers()
+            self.book.remove_expired(self.clock.now_ms())
             jitter = 0.9 + 0.2 * self.rng.random()
             self.clock.sleep_ms(_HEARTBEAT_INTERVAL_MS * jitter)
 
@@ -232,9 +314,28 @@
                 self.running,
                 assignments,
                 self.health.slow_endpoints(now_ms, _MIN_SHARED_SLOWNESS),
+                self.zone,
+                [
+                    _messages.pack_report(r, now_ms)
+                    for r in self.directory.recent(now_ms)
+                    if r.cell in self.book.other_cells
+                ],
             ),
-            self.addresses(),
+            self.addresses() + self.book.unknown(),
         )
+        self._announce_cell(now_ms)
+
+    def _announce_cell(self, now_ms: float) -> None:
+        """Sends the summary of the own cell to one instance of another."""
+        if not self.book.other_cells:
+            return
+        ips = self.book.of_cell(self.rng.choice(list(self.book.other_cells)))
+        if ips:
+            state = _messages.pack_report(self.make_report(), now_ms)
+            self.send(
+                _messages.CellAnnouncement(self.name, self.zone, state),
+                self.rng.choice(ips),
+            )
 
     def _remove_lost_peers(self) -> None:
         live = self.live()
@@ -270,6 +371,7 @@
             try:
                 message = _messages.decode(data)
             except msgspec.DecodeError as exc:
+                self.malformed += 1
                 logging.warning(
                     "malformed datagram dropped: ip=%s reason=%s", ip, exc
                 )
@@ -279,33 +381,22 @@
 
     def _handle(self, message: _messages.Message, ip: str) -> None:
         now_ms = self.clock.now_ms()
-        self._addresses.add(ip)
         if isinstance(message, _messages.Heartbeat):
-            self._record_peer(
-                message.sender, ip, message.incarnation, message.reads_store
-            )
-            self.view.replace_instance(
-                message.sender,
-                [_messages.unpack(a, now_ms) for a in message.assignments],
-            )
-            for endpoint, factor in message.slow_endpoints.items():
-                self.health.record_slowness(endpoint, factor, now_ms)
-        elif isinstance(message, _messages.LoadUpdate):
-            known = self._peers.get(message.sender)
-            self._record_peer(
-                message.sender,
-                ip,
-                message.incarnation,
-                bool(known and known.reads_store),
-            )
-            for assignments in message.added:
-                self.view.add(
-                    message.sender, _messages.unpack(assignments, now_ms)
-                )
-            for attempt_id in message.decoding:
-                self.view.start_decoding(attempt_id)
-            for attempt_id in message.ended:
-                self.view.remove(attempt_id)
+            self.book.add(ip, message.zone, now_ms, heard=True)
+            if self.book.is_in_cell(message.zone):
+                self._handle_heartbeat(message, ip, now_ms)
+            return
+        if isinstance(message, _messages.CellAnnouncement):
+            self.book.add(ip, message.zone, now_ms, heard=True)
+            self.record_state(message.state)
+            return
+        self.book.add(ip, "", now_ms, heard=True)
+        if isinstance(message, _messages.LoadUpdate):
+            zone = self.book.zone_of(ip)
+            if zone and not self.book.is_in_cell(zone):
+                self.foreign_updates += 1
+            else:
+                self._handle_load_update(message, ip, now_ms)
         elif isinstance(message, _messages.FreshnessQuery):
             reply = self.on_query(message)
             if reply is not None:
@@ -314,8 +405,49 @@
             self.on_reply(message, ip)
         elif isinstance(message, _messages.EndpointSuspected):
             self.on_endpoint_suspected(message.endpoint)
-        else:
+        elif isinstance(message, _messages.StateChanged):
             self.on_state_changed(message, ip)
+        elif handler := self._handlers.get(type(message)):
+            handler(message, ip)
+
+    def record_state(self, state: _messages.CellState) -> None:
+        """Records the summary of another cell."""
+        if state.cell in self.book.other_cells:
+            self.directory.record(
+                _messages.unpack_report(state, self.clock.now_ms())
+            )
+
+    def _handle_heartbeat(
+        self, message: _messages.Heartbeat, ip: str, now_ms: float
+    ) -> None:
+        self._record_peer(
+            message.sender, ip, message.incarnation, message.reads_store
+        )
+        self.view.replace_instance(
+            message.sender,
+            [_messages.unpack(a, now_ms) for a in message.assignments],
+        )
+        for endpoint, factor in message.slow_endpoints.items():
+            self.health.record_slowness(endpoint, factor, now_ms)
+        for state in message.other_cells:
+            self.record_state(state)
+
+    def _handle_load_update(
+        self, message: _messages.LoadUpdate, ip: str, now_ms: float
+    ) -> None:
+        known = self._peers.get(message.sender)
+        self._record_peer(
+            message.sender,
+            ip,
+            message.incarnation,
+            bool(known and known.reads_store),
+        )
+        for assignments in message.added:
+            self.view.add(message.sender, _messages.unpack(assignments, now_ms))
+        for attempt_id in message.decoding:
+            self.view.start_decoding(attempt_id)
+        for attempt_id in message.ended:
+            self.view.remove(attempt_id)
 
     def _record_peer(
         self, name: str, ip: str, incarnation: int, reads_store: bool
--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -26,7 +26,9 @@
 # Number of instances that poll the store. One suffices; the second avoids a
 # delay when one of them fails.
 _READER_COUNT = 2
-_LOOP_INTERVAL_MS = 50.0
+# Registrations of other instances are not urgent: a new instance announces
+# itself. Shortest time between two fetches that only they cause.
+_PEERS_FETCH_INTERVAL_MS = 2000.0
 _FETCH_TIMEOUT_MS = 400.0
 _MAX_STATE_BYTES = 16 << 20
 _MAX_CONCURRENT_READS = 2
@@ -39,16 +41,15 @@
 
     Attributes:
         age_ms: Time since the state was last confirmed, in ms.
-        contents: All key-value pairs of the store.
-        digest: Digest of the pairs.
+        contents: All key-value pairs of the store, encoded and compressed.
     """
 
     age_ms: float
-    contents: kv.RangeResult
-    digest: int
+    contents: bytes
 
 
 _REPLY_DECODER = msgspec.msgpack.Decoder(_StateReply)
+_CONTENTS_DECODER = msgspec.msgpack.Decoder(kv.RangeResult)
 
 
 class StateReader:
@@ -101,6 +102,8 @@
         self._last_success_ms = float("-inf")
         self._failing_since_ms: float | None = None
         self._fetch_in_flight = False
+        self._last_peers_fetch_ms = float("-inf")
+        self._encoded: tuple[_state.RawState, bytes] | None = None
         self._was_fresh = True
 
     def start(self, peers: _peers.PeerExchange) -> None:
@@ -146,8 +149,13 @@
             current.revision,
             current.config_revision,
             current.digest,
+            self._peers_digest(),
         )
 
+    def _peers_digest(self) -> int:
+        raw = self.platform_state.raw
+        return raw.peers_digest if raw else 0
+
     def handle_reply(self, message: _messages.FreshnessReply, ip: str) -> None:
         """Confirms the state, or fetches it from the peer if it differs.
 
@@ -159,6 +167,8 @@
         current = self.platform_state.snapshot
         if current is not None and message.digest == current.digest:
             self.platform_state.freshness.confirm(confirmed_ms)
+            if message.peers_digest != self._peers_digest():
+                self._schedule_peers_fetch(ip)
         elif current is None or message.revision >= current.revision:
             self._schedule_fetch(ip)
 
@@ -175,9 +185,12 @@
         raw = self.platform_state.raw
         if raw is None:
             return None
+        # All instances of a cell fetch a changed state within a few ms.
+        if self._encoded is None or self._encoded[0] is not raw:
+            data = zlib.compress(msgspec.msgpack.encode(raw.contents), 1)
+            self._encoded = (raw, data)
         age_ms = self.platform_state.freshness.age_ms(self.clock.now_ms())
-        reply = _StateReply(age_ms, raw.contents, raw.digest)
-        return zlib.compress(msgspec.msgpack.encode(reply), 1)
+        return msgspec.msgpack.encode(_StateReply(age_ms, self._encoded[1]))
 
     def _run(self) -> None:
         while True:
@@ -193,7 +206,7 @@
                 self._last_query_ms = now_ms
                 self._query_peers(now_ms)
             self.clock.sleep_ms(
-                _LOOP_INTERVAL_MS * (0.8 + 0.4 * self.rng.random())
+                self.schedule.loop_interval_ms * (0.8 + 0.4 * self.rng.random())
             )
 
     def _log_freshness_change(self, now_ms: float) -> None:
@@ -269,7 +282,7 @@
         self._last_success_ms = now_ms
         self.reads_succeeded += 1
         self._apply_state(
-            _state.RawState(contents, _state.compute_digest(contents)),
+            _state.make_raw_state(contents, self.decoder.is_registration),
             started_ms,
         )
 
@@ -278,7 +291,12 @@
         current = self.platform_state.snapshot
         if current is not None and raw.contents.revision < current.revision:
             return
-        if current is not None and raw.digest == current.digest:
+        peers_changed = raw.peers_digest != self._peers_digest()
+        if (
+            current is not None
+            and raw.digest == current.digest
+            and not peers_changed
+        ):
             snapshot = current._replace(revision=raw.contents.revision)
         else:
             snapshot = self.decoder.decode(raw.contents)
@@ -287,9 +305,10 @@
         now_ms = self.clock.now_ms()
         changed = self.platform_state.apply(raw, snapshot, now_ms)
         self.platform_state.freshness.confirm(confirmed_ms)
-        self._peers.add_addresses(set(snapshot.peers.values()))
-        if changed:
+        self._peers.add_addresses(snapshot.peers.values())
+        if changed or peers_changed:
             self.on_change()
+        if changed:
             self._log_state(before, snapshot, now_ms)
             self._peers.broadcast_state_changed(raw.digest)
 
@@ -326,6 +345,12 @@
             )
         )
 
+    def _schedule_peers_fetch(self, ip: str) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms - self._last_peers_fetch_ms >= _PEERS_FETCH_INTERVAL_MS:
+            self._last_peers_fetch_ms = now_ms
+            self._schedule_fetch(ip)
+
     def _schedule_fetch(self, ip: str) -> None:
         if not self._fetch_in_flight:
             self._fetch_in_flight = True
@@ -349,7 +374,8 @@
             body = conn.read_body(_FETCH_TIMEOUT_MS, _MAX_STATE_BYTES)
             if head.status != 200:
                 return
-            reply = _REPLY_DECODER.decode(zlib.decompress(body))
+            reply = _REPLY_DECODER.decode(body)
+            contents = _CONTENTS_DECODER.decode(zlib.decompress(reply.contents))
         except (base.HollycartError, msgspec.DecodeError, zlib.error) as exc:
             logging.info("fetching the state from peer %s failed: %s", ip, exc)
             self._last_read_ms = float("-inf")  # makes a read due
@@ -359,6 +385,6 @@
             self._fetch_in_flight = False
         if reply.age_ms <= self.platform_state.freshness.max_age_ms:
             self._apply_state(
-                _state.RawState(reply.contents, reply.digest),
+                _state.make_raw_state(contents, self.decoder.is_registration),
                 started_ms - reply.age_ms,
             )
--- a/packages/hollycart/src/hollycart/gateway/_state.py
+++ b/packages/hollycart/src/hollycart/gateway/_state.py
@@ -1,10 +1,12 @@
 """The platform's state as held by an instance."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 from typing import Protocol
 
 import xxhash
 
+from hollycart.gateway import _address_book
 from hollycart_core import kv
 from hollycart_core import placement
 from hollycart_core import routing
@@ -18,15 +20,16 @@
         config_revision: Store revision of the configuration; 0 for none.
         config: The configuration, or None if there is none yet.
         endpoints: All registered endpoints.
-        peers: IP addresses of the instances by name.
-        digest: Hash of the key-value pairs; equal digests mean equal state.
+        peers: Addresses of the registered instances by name.
+        digest: Hash of the key-value pairs, without the registrations of
+            instances; equal digests mean equal state.
     """
 
     revision: int
     config_revision: int
     config: routing.RoutingConfig | None
     endpoints: tuple[placement.Endpoint, ...]
-    peers: dict[str, str]
+    peers: dict[str, _address_book.InstanceAddress]
     digest: int
 
 
@@ -40,7 +43,12 @@
             contents: All key-value pairs of the store.
         """
 
-    def encode_peer(self, name: str, ip: str) -> kv.Put:
+    def is_registration(self, key: str) -> bool:
+        """Returns whether a key is that of an instance's registration."""
+
+    def encode_peer(
+        self, name: str, address: _address_book.InstanceAddress
+    ) -> kv.Put:
         """Returns the record by which other instances discover this one."""
 
 
@@ -49,25 +57,37 @@
 
     Attributes:
         contents: All key-value pairs of the store.
-        digest: Hash of the pairs.
+        digest: Hash of the pairs without the registrations of instances.
+        peers_digest: Hash of the registrations.
     """
 
     contents: kv.RangeResult
     digest: int
+    peers_digest: int = 0
 
 
-def compute_digest(contents: kv.RangeResult) -> int:
-    """Returns a hash of the keys and their revisions.
+def make_raw_state(
+    contents: kv.RangeResult, is_registration: Callable[[str], bool]
+) -> RawState:
+    """Returns the state with the hashes of its keys and their revisions.
+
+    Args:
+        contents: All key-value pairs of the store.
+        is_registration: Returns whether a key is that of an instance's
+            registration. Registrations are hashed apart, since instances come
+            and go more often than the state changes that requests depend on.
 
     Example:
         >>> first, second = kv.RangeResult(1, ()), kv.RangeResult(2, ())
-        >>> compute_digest(first) == compute_digest(second)
+        >>> states = [make_raw_state(c, bool) for c in (first, second)]
+        >>> states[0].digest == states[1].digest
         True
     """
-    hasher = xxhash.xxh64()
+    hasher, peers_hasher = xxhash.xxh64(), xxhash.xxh64()
     for item in contents.items:
-        hasher.update(f"{item.key}={item.mod_revision};".encode())
-    return hasher.intdigest()
+        chosen = peers_hasher if is_registration(item.key) else hasher
+        chosen.update(f"{item.key}={item.mod_revision};".encode())
+    return RawState(contents, hasher.intdigest(), peers_hasher.intdigest())
 
 
 class PlatformState:
@@ -125,7 +145,10 @@
             if snapshot.revision < current.revision:
                 return False
             if snapshot.digest == current.digest:
-                self.snapshot = current._replace(revision=snapshot.revision)
+                self.raw = raw
+                self.snapshot = current._replace(
+                    revision=snapshot.revision, peers=snapshot.peers
+                )
                 self._update_endpoints(snapshot, now_ms)
                 return False
             if snapshot.config_revision < current.config_revision:
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -232,6 +232,7 @@
         self.peers = _peers.PeerExchange(
             "me",
             "127.0.0.1",
+            "z",
             _free_port(),
             view,
             self.health,
@@ -254,6 +255,7 @@
             self.log,
             observe.Metrics(),
             self.clock,
+            random.Random(2),
             "z",
             1500.0,
             20000.0,
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -0,0 +1,320 @@
+"""Instances of several cells, connected in memory."""
+
+import collections
+import random
+
+import pytest
+
+from hollycart import gateway
+from hollycart import observe
+from hollycart.gateway import _chooser
+from hollycart.gateway import _delegate
+from hollycart.gateway import _delegator
+from hollycart.gateway import _messages
+from hollycart.gateway import _peers
+from hollycart.gateway import _state
+from hollycart_core import base
+from hollycart_core import kv
+from hollycart_core import placement
+from hollycart_core import routing
+
+SERVICE = "llm"
+ENGINES_PER_ZONE = 10
+PARAMETERS = routing.EngineParameters(
+    5, 450000, 73, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048
+)
+
+
+class Network:
+    """Delivers datagrams at once and counts them by the sender's IP."""
+
+    def __init__(self):
+        self.exchanges = {}
+        self.datagrams = collections.Counter()
+        self.crossing = 0
+        self.lost_ips = set()
+
+    def sendto(self, sender, data, ip):
+        self.datagrams[sender.ip] += 1
+        receiver = self.exchanges.get(ip)
+        if receiver is None or ip in self.lost_ips:
+            return
+        if receiver.zone != sender.zone:
+            self.crossing += 1
+        receiver._handle(_messages.decode(data), sender.ip)
+
+
+class Socket:
+    """Socket of one instance in the network."""
+
+    def __init__(self, network, exchange):
+        self.network = network
+        self.exchange = exchange
+        self.fd = self
+
+    def sendto(self, data, flags, address):
+        del flags
+        self.network.sendto(self.exchange, data, address[0])
+
+    def close(self):
+        pass
+
+
+class Instance:
+    """An instance without its servers."""
+
+    def __init__(self, network, clock, zone, number):
+        self.name = f"{zone}-{number}"
+        ip = f"10.{ord(zone)}.{number // 250}.{number % 250}"
+        view, health = placement.LoadView(), placement.EndpointHealth()
+        log = observe.DecisionLog(self.name, clock)
+        rng = random.Random(self.name)
+        self.state = _state.PlatformState(4000.0, 2000.0)
+        self.peers = _peers.PeerExchange(
+            self.name,
+            ip,
+            zone,
+            1,
+            view,
+            health,
+            log,
+            clock,
+            rng,
+            lambda: True,
+            lambda query: None,
+            lambda reply, ip: None,
+            lambda changed, ip: None,
+            lambda endpoint: None,
+        )
+        self.peers._sock = Socket(network, self.peers)
+        network.exchanges[ip] = self.peers
+        self.delegator = _delegator.Delegator(
+            self.peers, self.state, log, clock, rng
+        )
+        self.chooser = _chooser.EndpointChooser(
+            self.state,
+            placement.Placer(view, health),
+            health,
+            self.peers.book,
+            self.delegator,
+            zone,
+        )
+        self.peers.count_open_endpoints = self.chooser.count_open_endpoints
+        self.delegate = _delegate.Delegate(
+            self.peers, self.chooser, self.state, clock
+        )
+        self.delegator.start()
+        self.peers.subscribe(
+            _messages.PlacementRequest, self.delegate._handle_request
+        )
+        self.peers.subscribe(
+            _messages.DelegatedProgress, self.delegate._handle_progress
+        )
+
+
+class Fleet:
+    """Instances that know each other, and the engines of their zones."""
+
+    def __init__(self, zones, instances_per_zone):
+        self.network = Network()
+        self.clock = base.ManualClock(1000.0)
+        self.endpoints = [
+            placement.Endpoint(f"{z}{i}", f"{z}:{i}", SERVICE, z, 5)
+            for z in zones
+            for i in range(ENGINES_PER_ZONE)
+        ]
+        self.instances = [
+            Instance(self.network, self.clock, zone, number)
+            for zone in zones
+            for number in range(instances_per_zone)
+        ]
+        addresses = {
+            i.name: gateway.InstanceAddress(i.peers.ip, i.peers.zone)
+            for i in self.instances
+        }
+        self.service = routing.Service(SERVICE, 100, PARAMETERS)
+        cfg = routing.RoutingConfig(1, [], [self.service])
+        snapshot = gateway.Snapshot(
+            1, 1, cfg, tuple(self.endpoints), addresses, 1
+        )
+        raw = _state.RawState(kv.RangeResult(1, ()), 1)
+        cells = placement.group_zones(
+            dict.fromkeys(zones, ENGINES_PER_ZONE),
+            dict.fromkeys(zones, instances_per_zone),
+        )
+        for instance in self.instances:
+            instance.state.apply(raw, snapshot, self.clock.now_ms())
+            instance.peers.add_addresses(addresses.values())
+            instance.peers.set_cells(cells)
+        self.send_heartbeats()
+
+    def send_heartbeats(self):
+        for instance in self.instances:
+            instance.peers.send_heartbeat()
+
+    def of_zone(self, zone):
+        return [i for i in self.instances if i.peers.zone == zone]
+
+    def prompt(self, attempt_id, zone):
+        return placement.Prompt(
+            attempt_id, 5000, 1500, 300.0, 9000.0, 250.0, zone
+        )
+
+    def fill(self, zone):
+        """Occupies all slots of a zone's engines."""
+        entry = self.of_zone(zone)[0]
+        for endpoint in self.endpoints:
+            if endpoint.zone == zone:
+                for slot in range(endpoint.slots):
+                    entry.peers.add((self.assignment(endpoint, slot),))
+        entry.peers._flush()
+
+    def assignment(self, endpoint, slot):
+        now_ms = self.clock.now_ms()
+        return placement.Assignment(
+            f"{endpoint.id}.{slot}",
+            endpoint.id,
+            True,
+            True,
+            20.0,
+            now_ms,
+            now_ms,
+            now_ms + 300.0,
+            250.0,
+            5000,
+            6500,
+            1.0,
+        )
+
+
+@pytest.fixture
+def two_cells():
+    fleet = Fleet("ab", 4)
+    fleet.fill("a")
+    return fleet
+
+
+def _offer(fleet, entry, attempt_id="x.1"):
+    prompt = fleet.prompt(attempt_id, entry.peers.zone)
+    own = entry.chooser.place_in_cell(
+        fleet.service, prompt, set(), fleet.clock.now_ms()
+    )
+    return entry.delegator.offer("r", SERVICE, prompt, set(), own)
+
+
+@pytest.mark.parametrize("zones", ["a", "ab", "abcde"])
+def test_datagrams_of_a_request_grow_with_the_cell_only(zones):
+    fleet = Fleet(zones, 8)
+    entry = fleet.instances[0]
+    fleet.network.datagrams.clear()
+    fleet.network.crossing = 0
+    entry.peers.add((fleet.assignment(fleet.endpoints[0], 9),))
+    entry.peers._flush()
+    assert fleet.network.datagrams[entry.peers.ip] == 7
+    assert fleet.network.crossing == 0
+
+
+@pytest.mark.parametrize("zones", ["ab", "abcde"])
+def test_heartbeats_between_zones_are_one_an_instance(zones):
+    fleet = Fleet(zones, 8)
+    fleet.network.datagrams.clear()
+    fleet.network.crossing = 0
+    fleet.send_heartbeats()
+    assert set(fleet.network.datagrams.values()) == {7 + 1}
+    assert fleet.network.crossing == len(fleet.instances)
+
+
+def test_prompt_of_a_full_cell_runs_in_a_cell_with_room(two_cells):
+    entry = two_cells.of_zone("a")[1]
+    chosen = _offer(two_cells, entry)
+    assert chosen is not None
+    assert chosen.endpoint.zone == "b"
+    assert chosen.first_event_ms < 300.0
+
+
+def test_prompt_stays_in_a_cell_with_room(two_cells):
+    entry = two_cells.of_zone("b")[1]
+    assert _offer(two_cells, entry) is None
+    assert two_cells.network.datagrams[entry.peers.ip] == 4  # one heartbeat
+
+
+def test_moved_prompt_counts_in_its_cell_until_it_ends(two_cells):
+    entry = two_cells.of_zone("a")[1]
+    chosen = _offer(two_cells, entry)
+    entry.delegator.add(chosen.assignments)
+
+    def views():
+        for instance in two_cells.of_zone("b"):
+            if instance.peers._flush_scheduled:
+                instance.peers._flush()
+        return [
+            [a.decoding for a in i.peers.view.on_endpoint(chosen.endpoint.id)]
+            for i in two_cells.of_zone("b")
+        ]
+
+    assert views() == [[False]] * 4
+    entry.delegator.start_decoding("x.1")
+    assert views() == [[True]] * 4
+    entry.delegator.remove("x.1")
+    assert views() == [[]] * 4
+    assert not entry.peers._ended
+
+
+def test_moved_prompt_of_a_failed_instance_is_dropped(two_cells):
+    chosen = _offer(two_cells, two_cells.of_zone("a")[1])
+    delegate = next(
+        i
+        for i in two_cells.of_zone("b")
+        if list(i.peers.view.on_endpoint(chosen.endpoint.id))
+    )
+    delegate.delegate.remove_overdue()
+    assert list(delegate.peers.view.on_endpoint(chosen.endpoint.id))
+    two_cells.clock.sleep_ms(20000.0)
+    delegate.delegate.remove_overdue()
+    assert not list(delegate.peers.view.on_endpoint(chosen.endpoint.id))
+
+
+def test_late_reply_releases_what_was_placed(two_cells):
+    entry = two_cells.of_zone("a")[1]
+    delegate = two_cells.of_zone("b")[0]
+    request = _messages.PlacementRequest(
+        entry.name, "x.2", SERVICE, 5000, 1500, 300.0, 9000.0, 250.0, [], 9.0
+    )
+    delegate.peers._handle(request, entry.peers.ip)
+    assert "x.2" not in delegate.delegate._overdue_ms
+    assert not delegate.peers.view.of_attempt("x.2")
+
+
+def test_silent_instance_costs_no_placement(two_cells):
+    two_cells.network.lost_ips = {i.peers.ip for i in two_cells.of_zone("b")}
+    entry = two_cells.of_zone("a")[1]
+    assert _offer(two_cells, entry) is None
+    assert not entry.delegator._delegated
+
+
+def test_load_update_of_another_cell_is_counted_and_ignored(two_cells):
+    receiver, sender = two_cells.of_zone("b")[0], two_cells.of_zone("a")[0]
+    assignment = two_cells.assignment(two_cells.endpoints[0], 7)
+    update = _messages.LoadUpdate(
+        sender.name, 1, [_messages.pack((assignment,), 0.0)], [], []
+    )
+    receiver.peers._handle(update, sender.peers.ip)
+    assert receiver.peers.foreign_updates == 1
+    assert not receiver.peers.view.of_attempt(assignment.attempt_id)
+    assert sender.name not in receiver.peers.live()
+
+
+def test_fleet_size_counts_all_cells():
+    fleet = Fleet("abc", 5)
+    for _ in range(20):
+        fleet.send_heartbeats()
+    assert {i.peers.fleet_size() for i in fleet.instances} == {15}
+
+
+def test_division_into_other_cells_forgets_peers_outside(two_cells):
+    instance = two_cells.of_zone("a")[0]
+    instance.peers.set_cells((frozenset("ab"),))
+    two_cells.send_heartbeats()
+    assert len(instance.peers.addresses()) == 7
+    instance.peers.set_cells((frozenset("a"), frozenset("b")))
+    assert set(instance.peers.live()) == {"a-1", "a-2", "a-3"}
--- a/packages/hollycart/src/hollycart/gateway/tests/test_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_peers.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from hollycart import gateway
 from hollycart import observe
 from hollycart.gateway import _messages
 from hollycart.gateway import _peers
@@ -23,6 +24,7 @@
         exchange = _peers.PeerExchange(
             name,
             f"127.0.0.{number}",
+            "z",
             port,
             placement.LoadView(),
             placement.EndpointHealth(),
@@ -37,7 +39,9 @@
             lambda changed, ip: None,
             lambda endpoint: suspects.append(endpoint),
         )
-        exchange.add_addresses({"127.0.0.1", "127.0.0.2"})
+        exchange.add_addresses(
+            gateway.InstanceAddress(f"127.0.0.{i}", "z") for i in (1, 2)
+        )
         made.append(exchange)
     replies, suspects = [], []
     for exchange in made:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -30,6 +30,9 @@
 class Decoder:
     """Decodes each key as the id of an endpoint."""
 
+    def is_registration(self, key):
+        return key.startswith("instance-")
+
     def decode(self, contents):
         endpoints = tuple(
             placement.Endpoint(i.key, "1:1", "s", "z", 1)
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -200,6 +200,42 @@
     silent_ms: float
 
 
+class CellChanged(Decision, tag="cell_changed"):
+    """The fleet is divided into cells in another way.
+
+    Attributes:
+        zones: Availability zones of the own cell.
+        other_cells: Names of the other cells.
+    """
+
+    zones: tuple[str, ...]
+    other_cells: tuple[str, ...]
+
+
+class Offered(Decision, tag="offered"):
+    """A prompt was offered to another cell, since the own one serves it badly.
+
+    Attributes:
+        request: Id of the request.
+        attempt: Id of the attempt.
+        cell: Name of the other cell.
+        ip: IP address of the instance that was asked.
+        outcome: `placed` there, `declined`, or `no_reply`.
+        own_cost: Predicted loss in the own cell; None without a placement.
+        cost: Predicted loss in the other cell; None unless placed.
+        wait_ms: Time until the reply or the timeout.
+    """
+
+    request: str
+    attempt: str
+    cell: str
+    ip: str
+    outcome: str
+    own_cost: float | None
+    cost: float | None
+    wait_ms: float
+
+
 class StoreLost(Decision, tag="store_lost"):
     """A read of the key-value store failed after successful reads.
 
@@ -312,6 +348,8 @@
     EndpointReachable,
     PeerFound,
     PeerLost,
+    CellChanged,
+    Offered,
     StoreLost,
     StoreRegained,
     FreshnessLost,
