--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -1,4 +1,5 @@
 import random
+import zlib
 
 import pytest
 
@@ -28,7 +29,7 @@
 
 
 class Decoder:
-    """Decodes each key as the id of an endpoint."""
+    """Decodes each key as the id of an endpoint or of an instance."""
 
     def is_registration(self, key):
         return key.startswith("instance-")
@@ -37,9 +38,15 @@
         endpoints = tuple(
             placement.Endpoint(i.key, "1:1", "s", "z", 1)
             for i in contents.items
+            if not self.is_registration(i.key)
         )
+        peers = {
+            i.key: gateway.InstanceAddress(i.key, "z")
+            for i in contents.items
+            if self.is_registration(i.key)
+        }
         cfg = routing.RoutingConfig(1, [], [])
-        return gateway.Snapshot(contents.revision, 1, cfg, endpoints, {}, 0)
+        return gateway.Snapshot(contents.revision, 1, cfg, endpoints, peers, 0)
 
 
 class Peers:
@@ -47,12 +54,13 @@
 
     def __init__(self):
         self.changes = []
+        self.ips = set()
 
     def live(self):
         return {}
 
-    def add_addresses(self, ips):
-        pass
+    def add_addresses(self, addresses):
+        self.ips |= {a.ip for a in addresses}
 
     def broadcast_state_changed(self, digest):
         self.changes.append(digest)
@@ -146,6 +154,62 @@
     assert len(reader._peers.changes) == 1
 
 
+def test_registration_of_an_instance_is_no_change_of_the_state(
+    reader, store, platform_state
+):
+    store.contents = kv.RangeResult(1, items("a"))
+    reader._read()
+    applied = []
+    reader.on_change = lambda: applied.append(platform_state.snapshot.peers)
+    store.contents = kv.RangeResult(2, items("a", "instance-1"))
+    reader._read()
+    assert len(reader._peers.changes) == 1
+    assert reader._peers.ips == {"instance-1"}
+    assert [set(peers) for peers in applied] == [{"instance-1"}]
+
+
+def test_registrations_are_fetched_at_most_once_in_an_interval(
+    reader, store, platform_state, clock, monkeypatch
+):
+    store.contents = kv.RangeResult(1, items("a"))
+    reader._read()
+    fetched = []
+    monkeypatch.setattr(reader, "_schedule_fetch", fetched.append)
+
+    def reply(peers_digest):
+        reader.handle_reply(
+            _messages.FreshnessReply(
+                "p",
+                clock.now_ms(),
+                0.0,
+                1,
+                1,
+                platform_state.snapshot.digest,
+                peers_digest,
+            ),
+            "ip",
+        )
+
+    reply(platform_state.raw.peers_digest)
+    assert not fetched
+    reply(7)
+    reply(8)
+    assert fetched == ["ip"]
+    clock.sleep_ms(_reader._PEERS_FETCH_INTERVAL_MS)
+    reply(8)
+    assert fetched == ["ip", "ip"]
+
+
+def test_encoded_state_is_decoded_by_a_peer(reader, store, clock):
+    store.contents = kv.RangeResult(1, items("a", "instance-1"))
+    reader._read()
+    clock.sleep_ms(40)
+    reply = _reader._REPLY_DECODER.decode(reader.encode_state())
+    assert reply.age_ms == 40
+    contents = _reader._CONTENTS_DECODER.decode(zlib.decompress(reply.contents))
+    assert contents == store.contents
+
+
 def test_changed_staleness_bound_applies_to_replies(
     reader, store, platform_state, clock
 ):
