--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -16,3 +16,7 @@
     cp -R "$source" target/deps/
   fi
 done
+# Instances start from a tree that they cannot write to. Without bytecode, each
+# start would compile the sources.
+python3 -m compileall -q --invalidation-mode unchecked-hash \
+  target/deps/hollycart_core target/deps/hollycart target/deps/hollycart_platform
--- a/packages/hollycart-core/src/hollycart_core/kv/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/kv/__init__.py
@@ -1,6 +1,12 @@
-"""Key-value store: interface, etcd client, in-memory and faulty stores."""
+"""Key-value store: interface, etcd client, in-memory and faulty stores.
+
+`EtcdStore` is loaded on its first use. It needs an HTTP client, which a process
+with another store would load for nothing at each start.
+"""
+
+from typing import TYPE_CHECKING
+from typing import Any
 
-from hollycart_core.kv._etcd import EtcdStore
 from hollycart_core.kv._faulty import CallerLost
 from hollycart_core.kv._faulty import CallFault
 from hollycart_core.kv._faulty import FaultyStore
@@ -12,6 +18,9 @@
 from hollycart_core.kv._types import RangeResult
 from hollycart_core.kv._types import TxnResult
 
+if TYPE_CHECKING:
+    from hollycart_core.kv._etcd import EtcdStore
+
 __all__ = [
     "CallFault",
     "CallerLost",
@@ -25,3 +34,11 @@
     "RangeResult",
     "TxnResult",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name == "EtcdStore":
+        from hollycart_core.kv import _etcd
+
+        return _etcd.EtcdStore
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
