Keep cells while registrations of engines lapse

Change: a zone with many instances is always a cell of its own. Until the cells are known, the own zone is the cell.

--- a/packages/hollycart-core/src/hollycart_core/placement/_cells.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_cells.py
@@ -6,6 +6,10 @@
 # With fewer endpoints than this, a cell loses more by both than it saves in
 # messages.
 MIN_CELL_ENDPOINTS = 8
+# A zone with so many instances is a cell of its own however few endpoints it
+# has: the messages of a merged cell would cost more than the offers of its
+# prompts to other cells. Registrations of endpoints lapse in store outages.
+MANY_INSTANCES = 24
 
 Cell = frozenset[str]
 
@@ -17,9 +21,10 @@
 
     Instances announce their load only within their cell, so that the messages
     of an instance grow with its cell and not with the fleet. A zone is a cell
-    of its own if it has enough endpoints, and instances to know their load.
-    Other zones are merged, the smallest first. The result depends only on the
-    arguments, so that instances with the same state form the same cells.
+    of its own if it has enough endpoints and instances to know their load, or
+    many instances. Other zones are merged, the smallest first. The result
+    depends only on the arguments, so that instances with the same state form
+    the same cells.
 
     Args:
         endpoints: Number of model engines by zone.
@@ -41,8 +46,11 @@
 
     def rank(cell: Cell) -> tuple[bool, int, str]:
         size = sum(endpoints.get(zone, 0) for zone in cell)
-        staffed = any(instances.get(zone, 0) for zone in cell)
-        return staffed and size >= MIN_CELL_ENDPOINTS, size, min(cell)
+        staff = sum(instances.get(zone, 0) for zone in cell)
+        complete = staff >= MANY_INSTANCES or (
+            staff > 0 and size >= MIN_CELL_ENDPOINTS
+        )
+        return complete, size, min(cell)
 
     while len(cells) > 1:
         cells.sort(key=rank)
--- a/packages/hollycart/src/hollycart/gateway/_address_book.py
+++ b/packages/hollycart/src/hollycart/gateway/_address_book.py
@@ -33,7 +33,8 @@
 class AddressBook:
     """Addresses of the other instances, divided by cells.
 
-    Until the cells are known, all instances count as members of the own cell.
+    Until the cells are known, the own cell consists of the own zone and of the
+    addresses without a known zone.
 
     Args:
         ip: IP address of this instance.
@@ -107,7 +108,9 @@
 
     def is_in_cell(self, zone: str) -> bool:
         """Returns whether an availability zone belongs to the own cell."""
-        return not self.cell or zone in self.cell
+        if not self.cell:
+            return zone in ("", self.zone)
+        return zone in self.cell
 
     def zone_of(self, ip: str) -> str:
         """Returns the zone of an address; empty if it is unknown."""
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -255,6 +255,8 @@
             for e in snapshot.endpoints
             if e.service in services and services[e.service].engine is not None
         )
+        if not endpoints and not self.peers.book.cell:
+            return  # the platform is starting
         instances = collections.Counter(p.zone for p in snapshot.peers.values())
         instances[self.cfg.zone] += 1
         self.peers.set_cells(placement.group_zones(endpoints, instances))
