Confirm long prompts before they are sent, offer what would disturb others

Change: a prompt with long parts is announced, waits 10 ms and is placed again if prompts that it would stall were placed meanwhile; a prompt is offered from the loss of one late short answer on, to up to two cells.

--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -5,6 +5,10 @@
 from hollycart_core.placement._cells import Cell
 from hollycart_core.placement._cells import cell_name
 from hollycart_core.placement._cells import group_zones
+from hollycart_core.placement._conflicts import ANNOUNCEMENT_LAG_MS
+from hollycart_core.placement._conflicts import attempts_at
+from hollycart_core.placement._conflicts import find_conflicts
+from hollycart_core.placement._conflicts import is_disruptive
 from hollycart_core.placement._engine_model import EngineModel
 from hollycart_core.placement._health import EndpointHealth
 from hollycart_core.placement._least_busy import least_busy
@@ -19,6 +23,7 @@
 from hollycart_core.placement._types import Reservation
 
 __all__ = [
+    "ANNOUNCEMENT_LAG_MS",
     "Cell",
     "CellDirectory",
     "CellReport",
@@ -32,8 +37,11 @@
     "Reservation",
     "SharedRetryBudget",
     "Assignment",
+    "attempts_at",
     "cell_name",
+    "find_conflicts",
     "group_zones",
+    "is_disruptive",
     "least_busy",
     "max_remote_loss",
 ]
--- a/packages/hollycart-core/src/hollycart_core/placement/_cell_directory.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_cell_directory.py
@@ -93,7 +93,7 @@
             rng: Source of randomness.
         """
         weights = [self._open(cell, service, now_ms) for cell in cells]
-        if not any(weights):
+        if not any(weights):  # also without cells
             return None
         return rng.choices(cells, weights)[0]
 
--- a/packages/hollycart-core/src/hollycart_core/placement/_losses.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_losses.py
@@ -6,6 +6,7 @@
 import math
 from typing import NamedTuple
 
+from hollycart_core.placement import _conflicts
 from hollycart_core.placement import _endpoint_state
 from hollycart_core.placement import _engine_model
 from hollycart_core.placement import _types
@@ -35,9 +36,6 @@
 _CROSS_ZONE_LOSS = 0.002
 # Share of a prompt's loss that counts if it is late but still answered.
 _LATE_LOSS = 0.75
-# Time from reading the load view for a placement until all instances know of
-# the placement, in ms: decision, batching of datagrams and transit.
-_VIEW_LAG_MS = 10.0
 # Length of an interactive answer, in tokens: the mean that both deployments
 # publish.
 _INTERACTIVE_ANSWER_TOKENS = 1500
@@ -196,7 +194,11 @@
     endpoint.
     """
     running = sum(s.slots_used for s in states)
-    return running * _VIEW_LAG_MS / model.decode_ms(_INTERACTIVE_ANSWER_TOKENS)
+    return (
+        running
+        * _conflicts.ANNOUNCEMENT_LAG_MS
+        / model.decode_ms(_INTERACTIVE_ANSWER_TOKENS)
+    )
 
 
 def slot_contention_loss(
--- a/packages/hollycart-core/src/hollycart_core/placement/_offers.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_offers.py
@@ -5,10 +5,12 @@
 # Predicted loss, relative to the weight of a prompt, from which it is offered.
 # Its first event is then predicted late, or close to it.
 _OFFER_LOSS = 0.25
-# Loss by which another cell has to be better, relative to the weight: for the
-# traffic between availability zones, and the error of predictions that were
-# made apart.
-_CROSSING_LOSS = 0.05
+# Predicted loss from which any prompt is offered: it would make an interactive
+# answer late.
+_MAX_OFFER_LOSS = 0.75
+# Loss by which another cell has to be better, for the traffic between
+# availability zones and the error of predictions that were made apart.
+_CROSSING_LOSS = 0.1
 
 
 def max_remote_loss(
@@ -16,9 +18,9 @@
 ) -> float | None:
     """Returns the loss up to which another cell should run a prompt.
 
-    The load it answers: the own cell is full, or has lost its endpoints.
-    Otherwise nothing is asked of other cells, so that a fleet with room spends
-    no messages on this.
+    The load it answers: the own cell is full or has lost its endpoints, or a
+    long prompt would make short answers late there. Otherwise nothing is asked
+    of other cells, so that a fleet with room spends no messages on this.
 
     Args:
         prompt: The prompt.
@@ -42,6 +44,6 @@
     """
     if own is None or own.retry_after_ms(prompt) is not None:
         return float("inf")
-    if own.predicted_loss < _OFFER_LOSS * prompt.weight:
+    if own.predicted_loss < min(_OFFER_LOSS * prompt.weight, _MAX_OFFER_LOSS):
         return None
-    return own.predicted_loss - _CROSSING_LOSS * prompt.weight
+    return own.predicted_loss - _CROSSING_LOSS
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
@@ -0,0 +1,95 @@
+"""Places attempts and announces them to the other instances."""
+
+from hollycart import observe
+from hollycart.gateway import _chooser
+from hollycart.gateway import _delegator
+from hollycart.gateway import _job
+from hollycart.gateway import _peers
+from hollycart_core import base
+from hollycart_core import placement
+
+
+class AttemptPlacer:
+    """Chooses endpoints for attempts; announces and confirms the choice.
+
+    Args:
+        chooser: Chooses the endpoints.
+        delegator: Announces attempts, also those placed by other cells.
+        peers: Exchange of datagrams with the other instances.
+        log: Decision log.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        chooser: _chooser.EndpointChooser,
+        delegator: _delegator.Delegator,
+        peers: _peers.PeerExchange,
+        log: observe.DecisionLog,
+        clock: base.Clock,
+    ) -> None:
+        self.chooser = chooser
+        self.delegator = delegator
+        self.peers = peers
+        self.log = log
+        self.clock = clock
+
+    def place(
+        self,
+        request: _job.AdmittedRequest,
+        progress: _job.Progress,
+        attempt_id: str,
+    ) -> placement.Placement:
+        """Returns the placement of an attempt, which has been announced.
+
+        Raises:
+            HollycartError: As `EndpointChooser.choose`; nothing is announced
+                then.
+        """
+        now_ms = self.clock.now_ms()
+        chosen = self.chooser.choose(request, progress, attempt_id, now_ms)
+        if not chosen.assignments:
+            return chosen
+        known = placement.attempts_at(chosen.assignments, self.peers.view)
+        self.delegator.add(chosen.assignments)
+        confirmed = False
+        try:
+            chosen = self._confirm(request, progress, chosen, known)
+            confirmed = True
+        finally:
+            if not confirmed:
+                self.delegator.remove(attempt_id)
+        return chosen
+
+    def _confirm(
+        self,
+        request: _job.AdmittedRequest,
+        progress: _job.Progress,
+        chosen: placement.Placement,
+        known: frozenset[str],
+    ) -> placement.Placement:
+        """Places a disruptive prompt again if others were placed meanwhile."""
+        attempt_id = chosen.assignments[0].attempt_id
+        if self.delegator.holds(attempt_id) or not placement.is_disruptive(
+            chosen.assignments
+        ):
+            return chosen
+        self.clock.sleep_ms(placement.ANNOUNCEMENT_LAG_MS)
+        view = self.peers.view
+        conflicts = placement.find_conflicts(chosen.assignments, known, view)
+        if not conflicts:
+            return chosen
+        self.log.write(
+            observe.decisions.PlacedAgain(
+                request.meta.request_id, attempt_id, tuple(conflicts)
+            )
+        )
+        view.remove(attempt_id)  # the prompt does not compete with itself
+        chosen = self.chooser.choose(
+            request, progress, attempt_id, self.clock.now_ms()
+        )
+        if self.delegator.holds(attempt_id):
+            self.peers.remove(attempt_id)
+        else:
+            self.peers.add(chosen.assignments)
+        return chosen
--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -16,6 +16,8 @@
 _REPLY_TIMEOUT_MS = 25.0
 # Number of the latest heard instances of a cell that are asked in turn.
 _MAX_CONTACTS = 8
+# Number of cells that a prompt is offered to.
+_MAX_OFFERS = 2
 
 
 class Delegator:
@@ -77,18 +79,38 @@
         max_loss = placement.max_remote_loss(prompt, own)
         if max_loss is None:
             return None
+        cells = sorted(self.peers.book.other_cells)
+        for _ in range(_MAX_OFFERS):
+            cell = self.peers.directory.choose(
+                service, cells, self.clock.now_ms(), self.rng
+            )
+            if cell is None:
+                return None
+            cells.remove(cell)
+            own_cost = round(own.predicted_loss, 3) if own else None
+            chosen = self._offer_to(
+                cell, request_id, service, prompt, excluded, max_loss, own_cost
+            )
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _offer_to(
+        self,
+        cell: str,
+        request_id: str,
+        service: str,
+        prompt: placement.Prompt,
+        excluded: set[str],
+        max_loss: float,
+        own_cost: float | None,
+    ) -> placement.Placement | None:
         started_ms = self.clock.now_ms()
-        directory = self.peers.directory
-        cell = directory.choose(
-            service, sorted(self.peers.book.other_cells), started_ms, self.rng
-        )
-        if cell is None:
-            return None
         contacts = self.peers.book.of_cell(cell)[-_MAX_CONTACTS:]
         if not contacts:
             return None
         ip = self.rng.choice(contacts)
-        directory.record_offer(cell, service)
+        self.peers.directory.record_offer(cell, service)
         reply = self._ask(ip, service, prompt, excluded, max_loss)
         chosen = None
         if reply is None:
@@ -105,13 +127,17 @@
                 cell,
                 ip,
                 outcome,
-                round(own.predicted_loss, 3) if own else None,
+                own_cost,
                 round(chosen.predicted_loss, 3) if chosen else None,
                 round(self.clock.now_ms() - started_ms, 1),
             )
         )
         return chosen
 
+    def holds(self, attempt_id: str) -> bool:
+        """Returns whether an attempt was placed by another cell."""
+        return attempt_id in self._delegated
+
     def add(self, assignments: tuple[placement.Assignment, ...]) -> None:
         """Announces a new attempt, unless it was placed by another cell."""
         if assignments[0].attempt_id not in self._delegated:
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -8,6 +8,7 @@
 from hollycart import observe
 from hollycart.gateway import _admission
 from hollycart.gateway import _attempt
+from hollycart.gateway import _attempt_placer
 from hollycart.gateway import _chooser
 from hollycart.gateway import _codec
 from hollycart.gateway import _delegate
@@ -104,6 +105,9 @@
         self._delegate = _delegate.Delegate(
             peers, self.chooser, platform_state, clock
         )
+        self._attempt_placer = _attempt_placer.AttemptPlacer(
+            self.chooser, self.delegator, peers, log, clock
+        )
         self._attempt_relay = _attempt.AttemptRelay(
             codec, self.monitor, self.dependencies, log, clock, stall_ms
         )
@@ -286,11 +290,9 @@
                 f"{_attempt.MIN_REMAINING_MS:.0f} ms"
             )
         attempt_id = f"{self.peers.incarnation:x}.{next(self._ids)}"
-        chosen = self.chooser.choose(request, progress, attempt_id, now_ms)
+        chosen = self._attempt_placer.place(request, progress, attempt_id)
         self._log_placement(request, chosen, attempt_id, now_ms)
         endpoint = chosen.endpoint
-        if chosen.assignments:
-            self.delegator.add(chosen.assignments)
         self.chooser.in_flight[endpoint.id] += 1
         conn: connections.ClientConnection | None = None
         try:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -2,11 +2,13 @@
 
 import collections
 import random
+import types
 
 import pytest
 
 from hollycart import gateway
 from hollycart import observe
+from hollycart.gateway import _attempt_placer
 from hollycart.gateway import _chooser
 from hollycart.gateway import _delegate
 from hollycart.gateway import _delegator
@@ -318,6 +320,99 @@
     assert len(started.peers.live()) == 4
 
 
+class _Chooser:
+    """Places one prompt in the cell, whatever the request."""
+
+    def __init__(self, fleet, entry, prompt):
+        self.fleet = fleet
+        self.entry = entry
+        self.prompt = prompt
+
+    def choose(self, request, progress, attempt_id, now_ms):
+        return self.entry.chooser.place_in_cell(
+            self.fleet.service, self.prompt, set(), now_ms
+        )
+
+
+class _InterruptedClock(base.ManualClock):
+    """Lets another instance act while one sleeps."""
+
+    def __init__(self, start_ms, action):
+        super().__init__(start_ms)
+        self.action = action
+
+    def sleep_ms(self, duration_ms):
+        super().sleep_ms(duration_ms)
+        self.action()
+
+
+_REQUEST = types.SimpleNamespace(meta=types.SimpleNamespace(request_id="r"))
+
+
+def test_long_prompt_avoids_short_ones_that_were_placed_at_the_same_time():
+    """A prompt of 500,000 tokens and five short ones meet within 10 ms."""
+    fleet = Fleet("a", 2)
+    first, second = fleet.instances
+    now_ms = fleet.clock.now_ms()
+    prompt = placement.Prompt(
+        "long.1", 400000, 900, 4000.0, 12000.0, 1000.0, "a"
+    )
+    chosen = first.chooser.place_in_cell(fleet.service, prompt, set(), now_ms)
+    shared = chosen.endpoint
+
+    def place_short():
+        second.peers.add((fleet.assignment(shared, 1),))
+        second.peers._flush()
+
+    placer = _attempt_placer.AttemptPlacer(
+        _Chooser(fleet, first, prompt),
+        first.delegator,
+        first.peers,
+        observe.DecisionLog("a-0", fleet.clock),
+        _InterruptedClock(now_ms, place_short),
+    )
+    placed = placer.place(_REQUEST, None, "long.1")
+    first.peers._flush()
+    used = {a.endpoint for a in placed.assignments}
+    assert shared.id in {a.endpoint for a in chosen.assignments}
+    assert shared.id not in used
+    seen = second.peers.view.of_attempt("long.1")
+    assert {a.endpoint for a in seen} == used
+
+
+def test_announcement_of_a_prompt_that_cannot_be_placed_again_is_withdrawn():
+    fleet = Fleet("a", 2)
+    first, second = fleet.instances
+    prompt = placement.Prompt(
+        "long.2", 400000, 900, 4000.0, 12000.0, 1000.0, "a"
+    )
+    chooser = _Chooser(fleet, first, prompt)
+
+    def fail():
+        second.peers.add((fleet.assignment(fleet.endpoints[0], 1),))
+        for endpoint in fleet.endpoints:
+            second.peers.add((fleet.assignment(endpoint, 2),))
+        second.peers._flush()
+        chooser.choose = _raise_overloaded
+
+    placer = _attempt_placer.AttemptPlacer(
+        chooser,
+        first.delegator,
+        first.peers,
+        observe.DecisionLog("a-0", fleet.clock),
+        _InterruptedClock(fleet.clock.now_ms(), fail),
+    )
+    with pytest.raises(base.OverloadedError):
+        placer.place(_REQUEST, None, "long.2")
+    first.peers._flush()
+    assert not first.peers.view.of_attempt("long.2")
+    assert not second.peers.view.of_attempt("long.2")
+
+
+def _raise_overloaded(*args):
+    raise base.OverloadedError("full", 250.0)
+
+
 def test_fleet_size_counts_all_cells():
     fleet = Fleet("abc", 5)
     for _ in range(20):
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -212,6 +212,23 @@
     other_cells: tuple[str, ...]
 
 
+class PlacedAgain(Decision, tag="placed_again"):
+    """A long prompt is placed again, before it was sent.
+
+    Other instances had chosen its endpoints for shorter prompts at the same
+    time.
+
+    Attributes:
+        request: Id of the request.
+        attempt: Id of the attempt.
+        conflicts: Ids of the attempts that would have waited for it.
+    """
+
+    request: str
+    attempt: str
+    conflicts: tuple[str, ...]
+
+
 class Offered(Decision, tag="offered"):
     """A prompt was offered to another cell, since the own one serves it badly.
 
@@ -350,6 +367,7 @@
     PeerLost,
     CellChanged,
     Offered,
+    PlacedAgain,
     StoreLost,
     StoreRegained,
     FreshnessLost,
