Let one of two prompts give way that take the same last slot

Change: a prompt that takes one of the last two slots is announced, waits 10 ms and is placed again if prompts with lower ids left it no slot.

--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -8,7 +8,7 @@
 from hollycart_core.placement._conflicts import ANNOUNCEMENT_LAG_MS
 from hollycart_core.placement._conflicts import attempts_at
 from hollycart_core.placement._conflicts import find_conflicts
-from hollycart_core.placement._conflicts import is_disruptive
+from hollycart_core.placement._conflicts import needs_confirmation
 from hollycart_core.placement._engine_model import EngineModel
 from hollycart_core.placement._health import EndpointHealth
 from hollycart_core.placement._least_busy import least_busy
@@ -41,7 +41,7 @@
     "cell_name",
     "find_conflicts",
     "group_zones",
-    "is_disruptive",
     "least_busy",
     "max_remote_loss",
+    "needs_confirmation",
 ]
--- a/packages/hollycart-core/src/hollycart_core/placement/_conflicts.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_conflicts.py
@@ -1,6 +1,6 @@
-"""Placements that were decided at the same time by several instances."""
+"""Placements that are decided at the same time by several instances."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from hollycart_core.placement import _load_view
 from hollycart_core.placement import _types
@@ -8,25 +8,39 @@
 # Time from a placement until all instances of a cell know of it, in ms:
 # batching of datagrams, transit and decoding.
 ANNOUNCEMENT_LAG_MS = 10.0
-# Shortest prefill of a part that is worth a second look, in ms: it is longer
-# than the gaps that interactive answers accept after a batch step.
+# Shortest prefill of a part that may stall other prompts unexpectedly, in ms:
+# it is longer than the gaps that interactive answers accept after a batch step.
 _LONG_PART_MS = 150.0
+# A slot is contended if at most so many are free after it was taken.
+_CONTENDED_FREE_SLOTS = 1
 
 
-def is_disruptive(assignments: Iterable[_types.Assignment]) -> bool:
-    """Returns whether a prompt's prefill would stall other answers.
+def needs_confirmation(
+    assignments: Sequence[_types.Assignment],
+    slots: int,
+    view: _load_view.LoadView,
+) -> bool:
+    """Returns whether a prompt should be confirmed before it is sent.
+
+    The load it answers: prompts arrive at different instances within the time
+    of an announcement and meet at an endpoint. Short ones that lack a slot
+    wait for the end of a whole answer, and those beside a very long prompt for
+    seconds. Such placements are therefore announced before the prompt is sent,
+    and made anew if `find_conflicts` finds others that were made meanwhile.
 
-    The load it answers: a very long prompt and short ones arrive at different
-    instances within the time of an announcement and meet at an endpoint. The
-    short ones would wait for seconds. Disruptive prompts are therefore
-    announced before they are sent, and placed again if `find_conflicts` finds
-    prompts that were placed meanwhile. They have the time for that.
+    Args:
+        assignments: Assignments of the prompt, the primary's first.
+        slots: Number of slots of the primary.
+        view: Assignments of all instances, those of the prompt included.
     """
-    return any(a.prefill_ms >= _LONG_PART_MS for a in assignments)
+    if any(a.prefill_ms >= _LONG_PART_MS for a in assignments):
+        return True
+    used = sum(a.primary for a in view.on_endpoint(assignments[0].endpoint))
+    return slots - _CONTENDED_FREE_SLOTS <= used <= slots
 
 
 def attempts_at(
-    assignments: Iterable[_types.Assignment], view: _load_view.LoadView
+    assignments: Sequence[_types.Assignment], view: _load_view.LoadView
 ) -> frozenset[str]:
     """Returns the ids of the attempts at the endpoints of a prompt."""
     return frozenset(
@@ -37,22 +51,56 @@
 
 
 def find_conflicts(
-    assignments: Iterable[_types.Assignment],
+    assignments: Sequence[_types.Assignment],
+    slots: int,
     known: frozenset[str],
     view: _load_view.LoadView,
 ) -> list[str]:
-    """Returns the attempts that a prompt's prefill would stall unexpectedly.
+    """Returns the attempts that speak against a placement after all.
 
     Args:
-        assignments: Assignments of the prompt.
-        known: Attempts that were known when it was placed.
+        assignments: Assignments of the prompt, the primary's first.
+        slots: Number of slots of the primary.
+        known: Attempts that were known when the prompt was placed.
         view: Assignments of all instances now.
     """
+    return _find_stalled(assignments, known, view) + _find_preceding(
+        assignments[0], slots, known, view
+    )
+
+
+def _find_stalled(
+    assignments: Sequence[_types.Assignment],
+    known: frozenset[str],
+    view: _load_view.LoadView,
+) -> list[str]:
+    """Returns new attempts that the prompt's prefill would stall."""
     return [
         other.attempt_id
         for a in assignments
         for other in view.on_endpoint(a.endpoint)
-        if other.attempt_id != a.attempt_id
+        if a.prefill_ms >= _LONG_PART_MS
+        and other.attempt_id != a.attempt_id
         and other.attempt_id not in known
         and other.max_gap_ms <= a.prefill_ms
     ]
+
+
+def _find_preceding(
+    primary: _types.Assignment,
+    slots: int,
+    known: frozenset[str],
+    view: _load_view.LoadView,
+) -> list[str]:
+    """Returns new attempts that leave no slot for the prompt.
+
+    Of the prompts that were placed at the same time, those with the lowest ids
+    keep their slots. All instances come to the same result.
+    """
+    attempt_ids = [
+        a.attempt_id for a in view.on_endpoint(primary.endpoint) if a.primary
+    ]
+    new = sorted(i for i in attempt_ids if i not in known)
+    free_slots = slots - (len(attempt_ids) - len(new))
+    preceding = [i for i in new if i < primary.attempt_id]
+    return preceding if len(preceding) >= max(1, free_slots) else []
--- a/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
@@ -68,15 +68,17 @@
         chosen: placement.Placement,
         known: frozenset[str],
     ) -> placement.Placement:
-        """Places a disruptive prompt again if others were placed meanwhile."""
+        """Places a prompt again if others that conflict were placed as well."""
         attempt_id = chosen.assignments[0].attempt_id
-        if self.delegator.holds(attempt_id) or not placement.is_disruptive(
-            chosen.assignments
+        slots, view = chosen.endpoint.slots, self.peers.view
+        if self.delegator.holds(attempt_id) or not placement.needs_confirmation(
+            chosen.assignments, slots, view
         ):
             return chosen
         self.clock.sleep_ms(placement.ANNOUNCEMENT_LAG_MS)
-        view = self.peers.view
-        conflicts = placement.find_conflicts(chosen.assignments, known, view)
+        conflicts = placement.find_conflicts(
+            chosen.assignments, slots, known, view
+        )
         if not conflicts:
             return chosen
         self.log.write(
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -380,6 +380,44 @@
     assert {a.endpoint for a in seen} == used
 
 
+def test_prompts_that_meet_at_the_last_slot_are_served_at_two_endpoints():
+    """Two short prompts arrive within 10 ms when one slot is left."""
+    fleet = Fleet("a", 2)
+    entry, other = fleet.instances
+    for endpoint in fleet.endpoints:
+        for slot in range(endpoint.slots - 1):
+            entry.peers.add((fleet.assignment(endpoint, slot),))
+    entry.peers._flush()
+    now_ms = fleet.clock.now_ms()
+    prompts = [fleet.prompt(f"x.{number}", "a") for number in (1, 2)]
+    chosen = [
+        i.chooser.place_in_cell(fleet.service, prompt, set(), now_ms)
+        for i, prompt in zip((entry, other), prompts, strict=True)
+    ]
+    # The placer would break ties apart; here both choose the same endpoint.
+    chosen[1] = chosen[1]._replace(
+        endpoint=chosen[0].endpoint,
+        helpers=(),
+        assignments=(chosen[0].assignments[0]._replace(attempt_id="x.2"),),
+    )
+    known = [
+        placement.attempts_at(c.assignments, i.peers.view)
+        for i, c in zip((entry, other), chosen, strict=True)
+    ]
+    for instance, placed in zip((entry, other), chosen, strict=True):
+        instance.peers.add(placed.assignments)
+        assert placement.needs_confirmation(
+            placed.assignments, 5, instance.peers.view
+        )
+    for instance in (entry, other):
+        instance.peers._flush()
+    found = [
+        placement.find_conflicts(c.assignments, 5, k, i.peers.view)
+        for i, c, k in zip((entry, other), chosen, known, strict=True)
+    ]
+    assert found == [[], ["x.1"]]
+
+
 def test_announcement_of_a_prompt_that_cannot_be_placed_again_is_withdrawn():
     fleet = Fleet("a", 2)
     first, second = fleet.instances
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -213,15 +213,15 @@
 
 
 class PlacedAgain(Decision, tag="placed_again"):
-    """A long prompt is placed again, before it was sent.
+    """A prompt is placed again, before it was sent.
 
-    Other instances had chosen its endpoints for shorter prompts at the same
-    time.
+    Other instances had chosen its endpoints at the same time.
 
     Attributes:
         request: Id of the request.
         attempt: Id of the attempt.
-        conflicts: Ids of the attempts that would have waited for it.
+        conflicts: Ids of the attempts that would have waited for the prompt, or
+            that have taken its slot.
     """
 
     request: str
