--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -31,6 +31,11 @@
 # Delay before a prompt is placed again when KV-cache memory was not available.
 # Batch steps, after which memory may become free, end more often than this.
 _MEMORY_RETRY_INTERVAL_MS = 100.0
+# After these failures, other endpoints of the attempt may have failed as well.
+_ENDPOINT_LOSSES = (
+    _failures.HelperRejectedError,
+    base.EndpointUnreachableError,
+)
 
 
 class Forwarder:
@@ -215,6 +220,8 @@
                 progress.rejections += 1
                 if not self._admit_retry(request, progress, exc):
                     raise _final_failure(exc, progress) from exc
+                if isinstance(exc, _ENDPOINT_LOSSES):
+                    self.monitor.probe_all(progress.participants)
             except (
                 base.NoEndpointError,
                 base.OverloadedError,
@@ -293,6 +300,7 @@
         chosen = self._attempt_placer.place(request, progress, attempt_id)
         self._log_placement(request, chosen, attempt_id, now_ms)
         endpoint = chosen.endpoint
+        progress.participants = tuple(a.endpoint for a in chosen.assignments)
         self.chooser.in_flight[endpoint.id] += 1
         conn: connections.ClientConnection | None = None
         try:
--- a/packages/hollycart/src/hollycart/gateway/_job.py
+++ b/packages/hollycart/src/hollycart/gateway/_job.py
@@ -39,6 +39,7 @@
         response_started: Whether a response to the caller was started.
         events: Buffer of the stream's events.
         excluded: Endpoints that are not tried again.
+        participants: Endpoints of the latest attempt at a prompt.
         longest_gap_ms: Longest gap between two events, in ms.
         last_event_ms: Instant of the last event; None before the first.
         responded_by: Endpoint whose response is relayed.
@@ -53,6 +54,7 @@
         self.events = _events.EventBuffer()
         self.events.last_id = last_event_id
         self.excluded: set[str] = set()
+        self.participants: tuple[str, ...] = ()
         self.longest_gap_ms = 0.0
         self.last_event_ms: float | None = None
         self.responded_by = ""
--- a/packages/hollycart/src/hollycart/gateway/_monitor.py
+++ b/packages/hollycart/src/hollycart/gateway/_monitor.py
@@ -1,6 +1,8 @@
 """Probes endpoints, so that requests do not wait for unreachable ones."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
 
 from absl import logging
 import eventlet
@@ -48,7 +50,7 @@
         self.log = log
         self.on_unreachable = on_unreachable
         self.broadcast_suspect = broadcast_suspect
-        self._probing: set[str] = set()
+        self._probes: dict[str, Any] = {}
         self._task = base.PeriodicTask(
             self._reprobe_unreachable,
             _REPROBE_INTERVAL_MS,
@@ -70,11 +72,26 @@
         Unreachable endpoints are left to the periodic probes.
         """
         listed = self.platform_state.endpoints.get(endpoint_id)
-        if listed is None or endpoint_id in self._probing:
-            return
-        if endpoint_id not in self.health.unreachable():
-            self._probing.add(endpoint_id)
-            eventlet.spawn_n(self._probe, listed)
+        if (
+            listed is not None
+            and endpoint_id not in self._probes
+            and endpoint_id not in self.health.unreachable()
+        ):
+            self._probes[endpoint_id] = eventlet.spawn(self._probe, listed)
+
+    def probe_all(self, endpoint_ids: Sequence[str]) -> None:
+        """Probes endpoints at the same time and waits for the results.
+
+        The load it answers: several engines fail at once, and a prompt that is
+        split over many of them is rejected because of one. Its next placement
+        should avoid all of them, not find them one by one.
+        """
+        for endpoint_id in endpoint_ids:
+            self.schedule_probe(endpoint_id)
+        for endpoint_id in endpoint_ids:
+            probe = self._probes.get(endpoint_id)
+            if probe is not None:
+                probe.wait()
 
     def report_unreachable(self, endpoint_id: str) -> None:
         """Takes an endpoint out of use that did not accept a connection."""
@@ -90,9 +107,8 @@
             listed = self.platform_state.endpoints.get(endpoint_id)
             if listed is None:
                 self.health.remove(endpoint_id)
-            elif endpoint_id not in self._probing:
-                self._probing.add(endpoint_id)
-                eventlet.spawn_n(self._probe, listed)
+            elif endpoint_id not in self._probes:
+                self._probes[endpoint_id] = eventlet.spawn(self._probe, listed)
 
     def _log_fault(self, exc: Exception) -> None:
         logging.error("unexpected error in endpoint probes: %r", exc)
@@ -106,7 +122,7 @@
             return
         finally:
             conn.close()
-            self._probing.discard(endpoint.id)
+            self._probes.pop(endpoint.id, None)
         if endpoint.id in self.health.unreachable():
             self.log.write(observe.decisions.EndpointReachable(endpoint.id))
             self.health.mark_reachable(endpoint.id)
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -64,6 +64,7 @@
             bool(find(head.headers, b"not-run")),
             None,
             None,
+            find(head.headers, b"faulty"),
         )
 
     def encode_failure(self, request_id, retry_after_ms):
@@ -102,6 +103,12 @@
         return sock.getsockname()[1]
 
 
+@pytest.fixture
+def free_port():
+    """Returns ports that nobody listens on."""
+    return _free_port
+
+
 def seal(fields):
     return ((b"Id", fields[b"id"].encode()), (b"Seal", b"1"))
 
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -3,6 +3,7 @@
 
 from hollycart_core import base
 from hollycart_core import connections
+from hollycart_core import placement
 from hollycart_core import routing
 
 
@@ -277,6 +278,30 @@
     assert calls.count(b"/reserve") == 2
 
 
+def test_prompt_avoids_all_failed_helpers_after_one_rejection(
+    system, endpoints, answers, free_port
+):
+    """Ten engines crash at once; the engines at fault are named one by one."""
+    dead = [
+        placement.Endpoint(f"d{i}", f"127.0.0.1:{free_port()}", "svc", "z", 8)
+        for i in range(10)
+    ]
+    system.apply_state(listed_endpoints=[*system.listed_endpoints, *dead])
+
+    def handler(exchange, fields):
+        for helper in fields[b"helpers"].split(","):
+            if helper in [e.address for e in dead]:
+                headers = ((b"Not-Run", b"1"), (b"Faulty", helper.encode()))
+                exchange.respond(503, headers, b"")
+                return
+        answers.events(1, 2)(exchange, fields)
+
+    for endpoint in endpoints:
+        endpoint.handler = handler
+    response = system.call("/stream/", tokens=100000, wait=15000)
+    assert response.status == 200
+
+
 def test_prompt_that_cannot_be_prefilled_in_time_is_rejected_at_once(
     system, endpoints, answers
 ):
