Compare the answers of repeated calls; describe cells

prove's _check_effects collected the bodies of answers and compared none. It now fails if calls under one key got different answers.

--- a/packages/hollycart-bench/src/hollycart_bench/prove/_runner.py
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_runner.py
@@ -9,6 +9,7 @@
 from hollycart_bench import checks
 from hollycart_bench import fleet
 from hollycart_bench import load
+from hollycart_bench.prove import _answers
 from hollycart_bench.prove import _failures
 from hollycart_bench.prove import _monitor
 from hollycart_bench.prove import _record
@@ -278,7 +279,7 @@
         once = self.checkers["at most once"]
         for key, times in effects.items():
             once.check(len(times) == 1, f"{key} ran {len(times)} times")
-        bodies: dict[str, set[str]] = {}
+        answers: list[_answers.KeyedAnswer] = []
         for result in self.client.results:
             if not result.idempotency_key:
                 continue
@@ -289,9 +290,15 @@
                     bool(executions_ms),
                     f"{scoped_key} answered ok but never ran",
                 )
-                bodies.setdefault(scoped_key, set()).add(result.body)
+                answers.append(_answers.KeyedAnswer(scoped_key, result.body))
             if result.outcome == "not_run":
                 self._check_not_run(result, scoped_key, executions_ms, attempts)
+        differing = _answers.find_differing_answers(answers)
+        for key in {answer.key for answer in answers}:
+            once.check(
+                key not in differing,
+                f"{key} was answered in {differing.get(key)} ways",
+            )
 
     def _check_not_run(
         self,
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/_explain.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/_explain.py
@@ -23,6 +23,7 @@
         "endpoint_unreachable",
         "endpoint_reachable",
         "peer_lost",
+        "cell_changed",
         "store_lost",
         "store_regained",
         "freshness_lost",
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/tests/test_explain.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/tests/test_explain.py
@@ -57,3 +57,17 @@
 def test_lines_without_decisions_are_skipped():
     texts = ["", "no json", "{broken", '9.1 edge {"event":"started"}', "{}"]
     assert [x.event for x in diagnosis.read_lines(texts)] == ["started"]
+
+
+def test_timeline_shows_offers_and_changed_cells():
+    lines = [
+        line("cell_changed", 1.0, zones=["z"], other_cells=[]),
+        line("offered", 2.0, request="r", outcome="declined"),
+        line("caller_left", 3.0, request="r", total_ms=900.0),
+    ]
+    found = diagnosis.explain("r", lines)
+    assert [x.event for x in found.timeline] == [
+        "cell_changed",
+        "offered",
+        "caller_left",
+    ]
