--- a/packages/hollycart-bench/src/hollycart_bench/prove/_answers.py
+++ b/packages/hollycart-bench/src/hollycart_bench/prove/_answers.py
@@ -19,9 +19,9 @@
 def find_differing_answers(answers: Iterable[KeyedAnswer]) -> dict[str, int]:
     """Returns the number of different answers of each key that has several.
 
-    A repeated call gets the answer of the first one. If that was lost on the way
-    from the service, it gets the confirmation of the service's lookup, which
-    names the key but cannot repeat the answer.
+    A repeated call gets the answer of the first one. If that was lost on the
+    way from the service, it gets the confirmation of the service's lookup,
+    which names the key but cannot repeat the answer.
 
     Example:
         >>> find_differing_answers(
