Ask engines for their load after a restart of all; take usual lengths from the platform

The restarted instances took their slots for free and packed short answers on them: predicted 15 to 50 ms, seen 1,050 ms.

Change: an instance that starts while no peer announces any request asks the engines of its cell once (one instance of those that start together) and announces what no instance accounts for; it counts as taken slots, falling to zero in 2 s.

--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -21,6 +21,7 @@
 from hollycart_core.placement._types import Placement
 from hollycart_core.placement._types import Prompt
 from hollycart_core.placement._types import Reservation
+from hollycart_core.placement._unaccounted import UnaccountedLoad
 
 __all__ = [
     "ANNOUNCEMENT_LAG_MS",
@@ -36,6 +37,7 @@
     "Prompt",
     "Reservation",
     "SharedRetryBudget",
+    "UnaccountedLoad",
     "Assignment",
     "attempts_at",
     "cell_name",
--- a/packages/hollycart-core/src/hollycart_core/placement/_endpoint_state.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_endpoint_state.py
@@ -100,11 +100,18 @@
                 _OVERDUE_MS, _OVERDUE_SHARE * assignment.prefill_ms
             )
         prefill_wait_ms = max(prefill_wait_ms, remaining_ms)
+    decode_count = len(decodes)
+    unaccounted = view.unaccounted(endpoint.id)
+    if unaccounted is not None:
+        primary_count += unaccounted.requests_left(now_ms)
+        decode_count += unaccounted.requests_left(now_ms)
+        total_context_tokens += unaccounted.memory_left(now_ms)
+        used_tokens += unaccounted.memory_left(now_ms)
     slowness = health.slowness(endpoint.id, now_ms)
     return EndpointState(
         endpoint,
         prefill_wait_ms,
-        model.decode_step_ms(len(decodes), total_context_tokens) * slowness,
+        model.decode_step_ms(decode_count, total_context_tokens) * slowness,
         slowness,
         tuple(decodes),
         tuple(prefills),
--- a/packages/hollycart-core/src/hollycart_core/placement/_engine_model.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_engine_model.py
@@ -56,6 +56,11 @@
         )
         return step_ms * cfg.stride
 
+    @property
+    def usual_answer_ms(self) -> float:
+        """Time to decode an answer of the usual length in a full batch."""
+        return self.decode_ms(round(self.parameters.usual_answer_tokens))
+
     def decode_ms(self, output_tokens: int) -> float:
         """Returns the time to decode an answer in a full batch, in ms.
 
--- a/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from hollycart_core.placement import _types
+from hollycart_core.placement import _unaccounted
 
 
 class LoadView:
@@ -30,6 +31,7 @@
         ] = {}
         self._by_endpoint: dict[str, dict[str, _types.Assignment]] = {}
         self._by_instance: dict[str, set[str]] = {}
+        self._unaccounted: dict[str, _unaccounted.UnaccountedLoad] = {}
 
     def add(
         self, instance: str, assignments: Iterable[_types.Assignment]
@@ -117,6 +119,20 @@
         for assignments in attempts:
             self.add(instance, assignments)
 
+    def is_empty(self) -> bool:
+        """Returns whether no assignment is known."""
+        return not self._by_attempt
+
+    def set_unaccounted(
+        self, endpoint: str, load: _unaccounted.UnaccountedLoad
+    ) -> None:
+        """Sets the load of an endpoint that no instance accounts for."""
+        self._unaccounted[endpoint] = load
+
+    def unaccounted(self, endpoint: str) -> _unaccounted.UnaccountedLoad | None:
+        """Returns the load of an endpoint that no instance accounts for."""
+        return self._unaccounted.get(endpoint)
+
     def on_endpoint(self, endpoint: str) -> Iterable[_types.Assignment]:
         """Returns the assignments at an endpoint."""
         return self._by_endpoint.get(endpoint, {}).values()
--- a/packages/hollycart-core/src/hollycart_core/placement/_losses.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_losses.py
@@ -36,9 +36,6 @@
 _CROSS_ZONE_LOSS = 0.002
 # Share of a prompt's loss that counts if it is late but still answered.
 _LATE_LOSS = 0.75
-# Length of an interactive answer, in tokens: the mean that both deployments
-# publish.
-_INTERACTIVE_ANSWER_TOKENS = 1500
 # Weight of an answer that another prompt's prefill makes late, relative to a
 # prompt that is late itself: answers in decode have precedence.
 _INTERFERENCE_FACTOR = 2.0
@@ -194,11 +191,7 @@
     endpoint.
     """
     running = sum(s.slots_used for s in states)
-    return (
-        running
-        * _conflicts.ANNOUNCEMENT_LAG_MS
-        / model.decode_ms(_INTERACTIVE_ANSWER_TOKENS)
-    )
+    return running * _conflicts.ANNOUNCEMENT_LAG_MS / model.usual_answer_ms
 
 
 def slot_contention_loss(
@@ -261,7 +254,7 @@
     if not interactive:
         return None
     # In a steady state, as many prompts arrive as answers end (Little's law).
-    answer_ms = model.decode_ms(_INTERACTIVE_ANSWER_TOKENS)
+    answer_ms = model.usual_answer_ms
     return InteractiveDemand(
         (len(interactive) + 1) / answer_ms,
         answer_ms,
--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from hollycart_core import routing
+
 
 class Endpoint(NamedTuple):
     """An endpoint as listed in the directory.
@@ -34,6 +36,7 @@
         remaining_ms: Time left until the caller abandons the request, in ms.
         max_gap_ms: Longest acceptable gap between events, in ms.
         zone: Availability zone of the instance that sends the prompt.
+        usual_tokens: Mean length of the service's prompts, in tokens.
     """
 
     attempt_id: str
@@ -43,24 +46,24 @@
     remaining_ms: float
     max_gap_ms: float
     zone: str = ""
+    usual_tokens: float = routing.DEFAULT_USUAL_PROMPT_TOKENS
 
     @property
     def weight(self) -> float:
-        """Weight of the prompt in losses; an empty prompt has weight 1."""
-        return 1.0 + min(self.tokens, WEIGHT_MAX_TOKENS) / WEIGHT_TOKENS
+        """Weight of the prompt in losses; an empty prompt has weight 1.
+
+        Each usual length adds 1, so that long prompts count by size and many
+        short prompts do not outweigh them by number alone.
+        """
+        return min(_MAX_WEIGHT, 1.0 + self.tokens / self.usual_tokens)
 
 
 # Shortest Retry-After of a refused request, in ms: the mean time between two
 # completed answers at an engine of eight slots.
 MIN_RETRY_AFTER_MS = 250.0
-# Prompt length that adds 1 to the weight. It is close to the mean prompt length
-# that both deployments publish (13,000 tokens), so that long prompts count by
-# size and many short prompts do not outweigh them by number alone.
-WEIGHT_TOKENS = 14000.0
-# Prompt length at which the weight is capped: the mean of the deployments'
-# longest request kind. A long prompt with a relaxed target never outweighs more
-# than sixteen urgent short ones.
-WEIGHT_MAX_TOKENS = 210000
+# Weight at which that of long prompts is capped: a long prompt with a relaxed
+# target never outweighs more than so many urgent short ones.
+_MAX_WEIGHT = 16.0
 
 
 class Assignment(NamedTuple):
--- a/packages/hollycart-core/src/hollycart_core/routing/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/routing/_types.py
@@ -68,6 +68,11 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
+# Mean lengths for services that publish none, in tokens.
+DEFAULT_USUAL_PROMPT_TOKENS = 14000.0
+DEFAULT_USUAL_ANSWER_TOKENS = 1500.0
+
+
 class EngineParameters(NamedTuple):
     """The published step model of a model engine.
 
@@ -85,6 +90,8 @@
         attention_ms_per_m_pairs: Attention time per million pairs of a prompt
             token and an earlier one, in ms.
         chunk_tokens: Largest number of prompt tokens prefilled in a step.
+        usual_prompt_tokens: Mean length of the service's prompts, in tokens.
+        usual_answer_tokens: Mean length of the service's answers, in tokens.
     """
 
     slots: int
@@ -96,6 +103,8 @@
     prefill_tokens_per_ms: float
     attention_ms_per_m_pairs: float
     chunk_tokens: int
+    usual_prompt_tokens: float = DEFAULT_USUAL_PROMPT_TOKENS
+    usual_answer_tokens: float = DEFAULT_USUAL_ANSWER_TOKENS
 
 
 class Service(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/__init__.py
+++ b/packages/hollycart/src/hollycart/gateway/__init__.py
@@ -7,6 +7,7 @@
 
 from hollycart.gateway._address_book import InstanceAddress
 from hollycart.gateway._codec import AttemptMeta
+from hollycart.gateway._codec import EndpointLoad
 from hollycart.gateway._codec import RequestCodec
 from hollycart.gateway._codec import RequestMeta
 from hollycart.gateway._codec import ResponseMeta
@@ -17,6 +18,7 @@
 
 __all__ = [
     "AttemptMeta",
+    "EndpointLoad",
     "Gateway",
     "GatewaySettings",
     "InstanceAddress",
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -177,6 +177,7 @@
             abandon_at_ms - now_ms,
             request.route.max_gap_ms,
             self.zone,
+            request.service.engine.usual_prompt_tokens,
         )
 
     def model(
--- a/packages/hollycart/src/hollycart/gateway/_codec.py
+++ b/packages/hollycart/src/hollycart/gateway/_codec.py
@@ -78,6 +78,18 @@
     faulty_endpoint: str = ""
 
 
+class EndpointLoad(NamedTuple):
+    """Load as an endpoint reports it.
+
+    Attributes:
+        requests: Number of requests that run or wait there.
+        memory_tokens: KV cache in use, in tokens.
+    """
+
+    requests: int
+    memory_tokens: int
+
+
 class RequestCodec(Protocol):
     """Translates the heads of HTTP messages; each platform has its own."""
 
@@ -109,6 +121,14 @@
     ) -> tuple[connections.RequestHead, bytes]:
         """Returns head and body of a request that releases reserved memory."""
 
+    def encode_load_query(self) -> connections.RequestHead:
+        """Returns the head of a request for the load of an endpoint."""
+
+    def decode_load(
+        self, head: connections.ResponseHead, body: bytes
+    ) -> EndpointLoad | None:
+        """Returns the load in an endpoint's response; None if there is none."""
+
     def decode_response(self, head: connections.ResponseHead) -> ResponseMeta:
         """Returns the metadata of an endpoint's response."""
 
--- a/packages/hollycart/src/hollycart/gateway/_delegate.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegate.py
@@ -95,6 +95,7 @@
             message.target_ms,
             message.remaining_ms,
             message.max_gap_ms,
+            usual_tokens=service.engine.usual_prompt_tokens,
         )
         chosen = self.chooser.place_in_cell(
             service, prompt, set(message.excluded), now_ms
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -16,6 +16,7 @@
 from hollycart.gateway import _reader
 from hollycart.gateway import _settings
 from hollycart.gateway import _state
+from hollycart.gateway import _survey
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import kv
@@ -125,6 +126,9 @@
             cfg.stall_ms,
             cfg.hold_max_ms,
         )
+        self._survey = _survey.LoadSurvey(
+            self.peers, self.platform_state, self.codec, self.log, clock
+        )
         self.front_server = connections.HttpExchangeServer(
             cfg.front_address, self.forwarder.handle, clock
         )
@@ -192,6 +196,7 @@
         for thread in self._threads:
             thread.kill()
         self.reader.close()
+        self._survey.close()
         self.peers.close()
         self.forwarder.close()
 
@@ -239,10 +244,11 @@
     def _apply_change(self) -> None:
         self._apply_limits()
         self._apply_cells()
-        if not self._announced:
+        if not self._announced and self.platform_state.endpoints:
             # Peers reply to the first heartbeat with theirs.
             self._announced = True
             self.peers.send_heartbeat()
+            self._survey.start()
 
     def _apply_cells(self) -> None:
         """Divides the fleet into cells by the engines and instances listed."""
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -170,6 +170,32 @@
     endpoint: str
 
 
+class EndpointReport(msgspec.Struct, array_like=True):
+    """Load of an endpoint that no instance accounts for.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        requests: Number of requests that run or wait there.
+        memory_tokens: KV cache that they hold, in tokens.
+    """
+
+    endpoint: str
+    requests: int
+    memory_tokens: int
+
+
+class UnaccountedLoads(msgspec.Struct, tag="r", array_like=True):
+    """Announces what endpoints reported when no instance knew of any load.
+
+    Attributes:
+        sender: Name of the instance that asked them.
+        reports: One report for each endpoint with load.
+    """
+
+    sender: str
+    reports: list[EndpointReport]
+
+
 class PlacementRequest(msgspec.Struct, tag="q", array_like=True):
     """Asks an instance of another cell to place a prompt there.
 
@@ -252,6 +278,7 @@
     | PlacementRequest
     | PlacementReply
     | DelegatedProgress
+    | UnaccountedLoads
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -22,6 +22,8 @@
 _MAX_DATAGRAM_BYTES = 8000  # well below the maximum of UDP
 _BATCH_WINDOW_MS = 2.0  # changes within it share one datagram
 _RECEIVE_BUFFER_BYTES = 65536
+# Time within which answers of instances that failed are assumed to end, in ms.
+_UNACCOUNTED_DURATION_MS = 2000.0
 _MIN_SHARED_SLOWNESS = 1.5  # smaller factors are not sent to peers
 
 
@@ -251,6 +253,30 @@
             self._ended.append(attempt_id)
         self._schedule_flush()
 
+    def add_unaccounted(self, reports: list[_messages.EndpointReport]) -> None:
+        """Records and announces load that no instance accounts for."""
+        self._record_unaccounted(reports)
+        if reports:
+            self._send(
+                _messages.UnaccountedLoads(self.name, reports),
+                self.addresses(),
+            )
+
+    def _record_unaccounted(
+        self, reports: list[_messages.EndpointReport]
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        for report in reports:
+            self.view.set_unaccounted(
+                report.endpoint,
+                placement.UnaccountedLoad(
+                    report.requests,
+                    report.memory_tokens,
+                    now_ms,
+                    _UNACCOUNTED_DURATION_MS,
+                ),
+            )
+
     def query_freshness(self, ips: list[str]) -> None:
         """Queries instances for how recently their state was confirmed."""
         message = _messages.FreshnessQuery(self.name, self.clock.now_ms())
@@ -407,6 +433,8 @@
             self.on_reply(message, ip)
         elif isinstance(message, _messages.EndpointSuspected):
             self.on_endpoint_suspected(message.endpoint)
+        elif isinstance(message, _messages.UnaccountedLoads):
+            self._record_unaccounted(message.reports)
         elif isinstance(message, _messages.StateChanged):
             self.on_state_changed(message, ip)
         elif handler := self._handlers.get(type(message)):
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/_survey.py
@@ -0,0 +1,114 @@
+"""Asks endpoints for their load when no instance knows of any."""
+
+from typing import Any
+
+from absl import logging
+import eventlet
+from eventlet import greenpool
+
+from hollycart import observe
+from hollycart.gateway import _codec
+from hollycart.gateway import _messages
+from hollycart.gateway import _peers
+from hollycart.gateway import _state
+from hollycart_core import base
+from hollycart_core import connections
+from hollycart_core import placement
+
+# Time for the peers' replies to the first heartbeat, in ms.
+_PEER_REPLY_MS = 20.0
+_QUERY_TIMEOUT_MS = 100.0
+_MAX_BODY_BYTES = 1 << 20
+
+
+class LoadSurvey:
+    """Queries the endpoints of the own cell once after the start.
+
+    It is skipped if a peer announces requests, since the load is known then. Of
+    the instances that start at the same time, one queries and announces the
+    result to its cell.
+
+    Args:
+        peers: Exchange of datagrams with the other instances.
+        platform_state: Configuration and endpoints in force.
+        codec: Translates the platform's messages.
+        log: Decision log.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        peers: _peers.PeerExchange,
+        platform_state: _state.PlatformState,
+        codec: _codec.RequestCodec,
+        log: observe.DecisionLog,
+        clock: base.Clock,
+    ) -> None:
+        self.peers = peers
+        self.platform_state = platform_state
+        self.codec = codec
+        self.log = log
+        self.clock = clock
+        self._thread: Any = None
+
+    def start(self) -> None:
+        """Starts the survey in the background."""
+        self._thread = eventlet.spawn(self._run)
+
+    def close(self) -> None:
+        """Stops the survey."""
+        if self._thread is not None:
+            self._thread.kill()
+            self._thread = None
+
+    def _run(self) -> None:
+        self.clock.sleep_ms(_PEER_REPLY_MS)
+        if self.peers.view.is_empty() and self._is_chosen():
+            self.run()
+
+    def _is_chosen(self) -> bool:
+        names = [self.peers.name, *self.peers.live()]
+        return base.rendezvous_rank("survey", names)[0] == self.peers.name
+
+    def run(self) -> None:
+        """Queries the endpoints and announces the load that they report."""
+        cfg = self.platform_state.config
+        if cfg is None:
+            return
+        queried = [
+            e
+            for e in self.platform_state.endpoints.values()
+            if self.peers.book.is_in_cell(e.zone)
+            and e.service in cfg.services
+            and cfg.services[e.service].engine is not None
+        ]
+        pool = greenpool.GreenPool(max(1, len(queried)))
+        reports = [
+            _messages.EndpointReport(e.id, r.requests, r.memory_tokens)
+            for e, r in zip(
+                queried, pool.imap(self._query, queried), strict=True
+            )
+            if r is not None and r.requests
+        ]
+        self.log.write(
+            observe.decisions.LoadSurveyed(
+                len(queried), sum(r.requests for r in reports)
+            )
+        )
+        self.peers.add_unaccounted(reports)
+
+    def _query(
+        self, endpoint: placement.Endpoint
+    ) -> _codec.EndpointLoad | None:
+        conn = connections.ClientConnection(endpoint.address, self.clock)
+        try:
+            conn.start(_QUERY_TIMEOUT_MS)
+            conn.send(self.codec.encode_load_query(), b"", _QUERY_TIMEOUT_MS)
+            head = conn.read_head(_QUERY_TIMEOUT_MS)
+            body = conn.read_body(_QUERY_TIMEOUT_MS, _MAX_BODY_BYTES)
+            return self.codec.decode_load(head, body)
+        except base.HollycartError as exc:
+            logging.info("load of %s is unknown: %s", endpoint.id, exc.detail)
+            return None
+        finally:
+            conn.close()
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -56,6 +56,14 @@
             b"POST", b"/release", ((b"Host", b"e"),)
         ), body
 
+    def encode_load_query(self):
+        return connections.RequestHead(b"GET", b"/load", ((b"Host", b"e"),))
+
+    def decode_load(self, head, body):
+        if head.status != 200:
+            return None
+        return gateway.EndpointLoad(*json.loads(body))
+
     def decode_response(self, head):
         find = connections.find_header
         return gateway.ResponseMeta(
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -212,6 +212,18 @@
     other_cells: tuple[str, ...]
 
 
+class LoadSurveyed(Decision, tag="load_surveyed"):
+    """Endpoints were asked for their load, since no instance knew of any.
+
+    Attributes:
+        endpoints: Number of endpoints that were asked.
+        requests: Number of requests that they reported.
+    """
+
+    endpoints: int
+    requests: int
+
+
 class PlacedAgain(Decision, tag="placed_again"):
     """A prompt is placed again, before it was sent.
 
@@ -368,6 +380,7 @@
     CellChanged,
     Offered,
     PlacedAgain,
+    LoadSurveyed,
     StoreLost,
     StoreRegained,
     FreshnessLost,
