--- a/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
@@ -183,3 +183,21 @@
     for endpoint in endpoints:
         held = sum(a.memory_tokens for a in view.on_endpoint(endpoint.id))
         assert held <= 450000
+
+
+@pytest.mark.parametrize("scale", [0.5, 1.0, 2.0])
+def test_weights_follow_the_usual_length_of_a_service(scale):
+    """A deployment with prompts of half or twice the length weighs alike."""
+    weights = [
+        placement.Prompt(
+            "a",
+            int(scale * tokens),
+            1500,
+            300.0,
+            9000.0,
+            200.0,
+            usual_tokens=scale * 14000.0,
+        ).weight
+        for tokens in (7000, 14000, 2000000)
+    ]
+    assert weights == [1.5, 2.0, 16.0]
