--- a/packages/hollycart-bench/src/hollycart_bench/measure/_runner.py
+++ b/packages/hollycart-bench/src/hollycart_bench/measure/_runner.py
@@ -11,8 +11,6 @@
 from hollycart_bench.measure import _cell
 from hollycart_bench.measure import _report
 
-_CELL_TIMEOUT_S = 900.0
-
 
 class ExperimentSpec(NamedTuple):
     """Describes the cells of an experiment and how they are run.
