Keep a fleet of few instances one cell, whatever its endpoints

Their messages are few, and each cell knew too little after kills.

Change: fewer than 24 instances are one cell.

--- a/packages/hollycart-core/src/hollycart_core/placement/_cells.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_cells.py
@@ -6,9 +6,10 @@
 # With fewer endpoints than this, a cell loses more by both than it saves in
 # messages.
 MIN_CELL_ENDPOINTS = 8
-# A zone with so many instances is a cell of its own however few endpoints it
-# has: the messages of a merged cell would cost more than the offers of its
-# prompts to other cells. Registrations of endpoints lapse in store outages.
+# A fleet with fewer instances is one cell, since its messages cost little. A
+# zone with so many is a cell of its own however few endpoints it has:
+# registrations of endpoints lapse in store outages, and the messages of a
+# merged cell would then cost more than the offers of its prompts.
 MANY_INSTANCES = 24
 
 Cell = frozenset[str]
@@ -22,9 +23,10 @@
     Instances announce their load only within their cell, so that the messages
     of an instance grow with its cell and not with the fleet. A zone is a cell
     of its own if it has enough endpoints and instances to know their load, or
-    many instances. Other zones are merged, the smallest first. The result
-    depends only on the arguments, so that instances with the same state form
-    the same cells.
+    many instances. Other zones are merged, the smallest first. A small fleet is
+    one cell, whatever its endpoints: its messages are few. The result depends
+    only on the arguments, so that instances with the same state form the same
+    cells.
 
     Args:
         endpoints: Number of model engines by zone.
@@ -34,14 +36,16 @@
         The cells, each a set of zones.
 
     Example:
-        >>> cells = group_zones({"a": 9, "b": 20}, {"a": 3, "b": 3})
+        >>> cells = group_zones({"a": 9, "b": 20}, {"a": 15, "b": 15})
         >>> [sorted(cell) for cell in cells]
         [['a'], ['b']]
-        >>> cells = group_zones({"a": 5, "b": 20}, {"a": 3, "b": 3})
+        >>> cells = group_zones({"a": 5, "b": 20}, {"a": 15, "b": 15})
         >>> [sorted(cell) for cell in cells]
         [['a', 'b']]
     """
     zones = sorted(endpoints.keys() | instances.keys())
+    if zones and sum(instances.values()) < MANY_INSTANCES:
+        return (frozenset(zones),)
     cells = [frozenset((zone,)) for zone in zones]
 
     def rank(cell: Cell) -> tuple[bool, int, str]:
