Log how the end of a response was declared

The line of an answer that was cut could not be told from that of a whole one. answered says now whether the end was declared by a length, by chunks or only by the end of the connection, and how many bytes were relayed after the last complete event; answered_framing counts it.

--- a/packages/hollycart-core/src/hollycart_core/connections/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from hollycart_core.connections._client import ClientConnection
+from hollycart_core.connections._messages import Framing
 from hollycart_core.connections._messages import Headers
 from hollycart_core.connections._messages import RequestHead
 from hollycart_core.connections._messages import Response
@@ -24,6 +25,7 @@
     "ClientConnection",
     "ConnectionPool",
     "Exchange",
+    "Framing",
     "HttpExchangeServer",
     "Headers",
     "RequestHead",
--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -40,6 +40,7 @@
         self.exchange_count = 0
         self._sock: Any = None
         self._http = h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
+        self._method = b""
         self._reusable = False
         self._skipped_foreign = False
 
@@ -119,6 +120,7 @@
         if self.exchange_count:
             self._http.start_next_cycle()
         self.exchange_count += 1
+        self._method = head.method
         self._reusable = False
         self._skipped_foreign = False
         fields = [
@@ -205,7 +207,10 @@
         length = _messages.find_header(headers, b"content-length")
         self._update_idle_until(headers)
         return _messages.ResponseHead(
-            event.status_code, headers, int(length) if length else None
+            event.status_code,
+            headers,
+            int(length) if length else None,
+            _messages.find_framing(self._method, event.status_code, headers),
         )
 
     def read_data(self, timeout_ms: float) -> bytes | None:
--- a/packages/hollycart-core/src/hollycart_core/connections/_messages.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_messages.py
@@ -1,11 +1,14 @@
 """Requests and responses as they are sent on a connection."""
 
 from collections.abc import Iterable
+import enum
 from typing import NamedTuple
 
 # Names and values of the header fields, unchanged and in the order sent.
 Headers = tuple[tuple[bytes, bytes], ...]
 
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+
 # Header fields that apply to a single connection (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
     (
@@ -30,6 +33,16 @@
     headers: Headers
 
 
+class Framing(enum.StrEnum):
+    """How the end of a response body is declared (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    # The body ends with the connection. An orderly close in the middle of the
+    # body cannot be told from its end.
+    CONNECTION = "connection"
+
+
 class ResponseHead(NamedTuple):
     """Status and header fields of a response.
 
@@ -37,11 +50,13 @@
         status: HTTP status.
         headers: Header fields.
         length: Content-Length in bytes; None if not declared.
+        framing: How the end of the body is declared.
     """
 
     status: int
     headers: Headers
     length: int | None = None
+    framing: Framing = Framing.LENGTH
 
 
 class Response(NamedTuple):
@@ -69,6 +84,32 @@
     return ""
 
 
+def find_framing(
+    method: bytes, status: int, headers: Iterable[tuple[bytes, bytes]]
+) -> Framing:
+    """Returns how the end of a response body is declared.
+
+    Args:
+        method: Method of the request.
+        status: HTTP status of the response.
+        headers: Header fields of the response.
+
+    Example:
+        >>> find_framing(b"GET", 200, [(b"Transfer-Encoding", b"chunked")])
+        <Framing.CHUNKED: 'chunked'>
+        >>> find_framing(b"GET", 200, [])
+        <Framing.CONNECTION: 'connection'>
+    """
+    fields = list(headers)
+    if method == b"HEAD" or status in _STATUSES_WITHOUT_BODY:
+        return Framing.LENGTH
+    if find_header(fields, b"transfer-encoding"):
+        return Framing.CHUNKED
+    if find_header(fields, b"content-length"):
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def end_to_end_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Returns the header fields without the hop-by-hop fields.
 
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -105,6 +105,7 @@
                 f"{chosen.endpoint.id} answered {head.status} without a seal"
             )
         progress.responded_by = chosen.endpoint.id
+        progress.framing = head.framing
         if success and request.route.kind is routing.RouteKind.STREAMING:
             self._relay_stream(request, progress, chosen, conn, head, listener)
             return
@@ -266,6 +267,7 @@
                 request.exchange.write(complete)
         remainder = events.take_partial()
         self._start_response(request, progress, head)
+        progress.trailing_bytes = len(remainder)
         if remainder:
             request.exchange.write(remainder)
         request.exchange.finish()
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -403,6 +403,7 @@
         total_ms = self.clock.now_ms() - request.exchange.received_ms
         team = request.team.name if request.team else ""
         self.metrics.count(f"answered.{progress.status}")
+        self.metrics.count(f"answered_framing.{progress.framing}")
         self.metrics.record("answer", team, request.route.name, total_ms)
         self.log.write(
             observe.decisions.Answered(
@@ -413,6 +414,8 @@
                 progress.events.count,
                 round(progress.longest_gap_ms, 1),
                 round(total_ms, 1),
+                progress.framing,
+                progress.trailing_bytes,
             )
         )
 
--- a/packages/hollycart/src/hollycart/gateway/_job.py
+++ b/packages/hollycart/src/hollycart/gateway/_job.py
@@ -44,6 +44,9 @@
         last_event_ms: Instant of the last event; None before the first.
         responded_by: Endpoint whose response is relayed.
         status: HTTP status of the response; 0 before it.
+        framing: How the endpoint declared the end of the response; empty
+            before it.
+        trailing_bytes: Bytes relayed after the last complete event.
     """
 
     def __init__(self, last_event_id: str) -> None:
@@ -59,3 +62,5 @@
         self.last_event_ms: float | None = None
         self.responded_by = ""
         self.status = 0
+        self.framing = ""
+        self.trailing_bytes = 0
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -1,6 +1,7 @@
 import json
 import random
 import socket
+import struct
 
 import eventlet
 import pytest
@@ -150,6 +151,24 @@
         def hang(exchange, fields):
             eventlet.sleep(30)
 
+        @staticmethod
+        def unframed(body, end="close"):
+            """Sends `body` without a length or chunks, then ends like `end`."""
+
+            def handler(exchange, fields):
+                head = b"".join(b"%s: %s\r\n" % field for field in seal(fields))
+                sock = exchange._connection._sock
+                sock.sendall(b"HTTP/1.1 200 OK\r\n%s\r\n%s" % (head, body))
+                if end == "reset":
+                    sock.setsockopt(
+                        socket.SOL_SOCKET,
+                        socket.SO_LINGER,
+                        struct.pack("ii", 1, 0),
+                    )
+                exchange.abort()
+
+            return handler
+
         @staticmethod
         def events(first, last, cut=b"", end=True):
             def handler(exchange, fields):
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -1,6 +1,7 @@
 import eventlet
 import pytest
 
+from hollycart import observe
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import placement
@@ -132,6 +133,28 @@
     assert events == [f"id: {i}\ndata: {i}" for i in range(1, 7)]
 
 
+@pytest.mark.parametrize("framing", ["length", "chunked", "connection"])
+def test_log_tells_how_the_end_of_a_response_was_declared(
+    system, endpoints, answers, framing
+):
+    system.apply_state()
+    event = b"id: 1\ndata: 1\n\n"
+    handler = {
+        "length": answers.complete,
+        "chunked": answers.events(1, 1),
+        "connection": answers.unframed(event),
+    }[framing]
+    script(endpoints, handler)
+    path = "/once/" if framing == "length" else "/stream/"
+    assert system.call(path, tokens=100).status == 200
+    (line,) = [
+        d
+        for d in system.log.decisions
+        if isinstance(d, observe.decisions.Answered)
+    ]
+    assert (line.framing, line.trailing_bytes) == (framing, 0)
+
+
 def test_stream_that_may_not_be_resumed_is_aborted(system, endpoints, answers):
     system.apply_state()
     script(endpoints, answers.events(1, 3, end=False), answers.events(1, 6))
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -92,6 +92,9 @@
         events: Number of events relayed.
         longest_pause_ms: Longest gap between two events.
         total_ms: Time since the request arrived.
+        framing: How the endpoint declared the end of the response: `length`,
+            `chunked` or `connection`.
+        trailing_bytes: Bytes relayed after the last complete event.
     """
 
     request: str
@@ -101,6 +104,8 @@
     events: int
     longest_pause_ms: float
     total_ms: float
+    framing: str
+    trailing_bytes: int
 
 
 class Failed(Decision, tag="failed"):
