--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -165,6 +165,42 @@
     assert request_count(endpoints) == 1
 
 
+def test_stream_closed_inside_an_event_is_resumed_not_relayed_as_complete(
+    system, endpoints, answers
+):
+    system.apply_state()
+    cut = b"id: 1\ndata: 1\n\nid: 2\nda"
+    script(endpoints, answers.unframed(cut), answers.events(1, 3))
+    response = system.call("/stream/", tokens=5000)
+    events = response.body.decode().strip().split("\n\n")
+    assert events == [f"id: {i}\ndata: {i}" for i in range(1, 4)]
+
+
+def test_stream_closed_inside_an_event_looks_truncated_to_its_caller(
+    system, endpoints, answers
+):
+    system.apply_state()
+    script(endpoints, answers.unframed(b"id: 1\ndata: 1\n\nid: 2\nda"))
+    conn = system.open("/fragile/", tokens=5000)
+    conn.read_head(1000)
+    with pytest.raises(base.EndpointFailedError):
+        conn.read_body(1000, 1 << 20)
+
+
+def test_reset_stream_without_length_or_chunks_is_resumed(
+    system, endpoints, answers
+):
+    system.apply_state()
+    script(
+        endpoints,
+        answers.unframed(b"id: 1\ndata: 1\n\n", end="reset"),
+        answers.events(1, 3),
+    )
+    response = system.call("/stream/", tokens=5000)
+    events = response.body.decode().strip().split("\n\n")
+    assert events == [f"id: {i}\ndata: {i}" for i in range(1, 4)]
+
+
 def test_reconnecting_caller_gets_the_rest_of_the_stream(
     system, endpoints, answers
 ):
