Fail an attempt whose stream ends inside an event

Cause: the relay took the end of the transport for the end of the message. A body without a length or chunks ends with its connection, and a crash that closes the connection in an orderly way looks the same. The relay then wrote the incomplete event and ended its own chunked response.

EventBuffer decides now whether a stream is complete: at the end of an event only, however its end was declared, and not before its first event if only the connection declared it. Otherwise the attempt fails with stream_truncated, which resumes the stream or truncates the caller's response visibly, as for every other failed attempt. Events may also end in CRLF, which the relay passed on only at the end of the stream.

--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -265,11 +265,11 @@
                 listener.on_event()
                 self._start_response(request, progress, head)
                 request.exchange.write(complete)
-        remainder = events.take_partial()
+        trailing = events.finish(head.framing)
         self._start_response(request, progress, head)
-        progress.trailing_bytes = len(remainder)
-        if remainder:
-            request.exchange.write(remainder)
+        progress.trailing_bytes = len(trailing)
+        if trailing:
+            request.exchange.write(trailing)
         request.exchange.finish()
 
     def _read_data(
--- a/packages/hollycart/src/hollycart/gateway/_events.py
+++ b/packages/hollycart/src/hollycart/gateway/_events.py
@@ -1,6 +1,12 @@
 """Splits a server-sent event stream into complete events."""
 
+import re
+
+from hollycart.gateway import _failures
+from hollycart_core import connections
+
 _ID_FIELD = b"id:"
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
 _MAX_EVENT_BYTES = 1 << 20
 
 
@@ -27,19 +33,12 @@
     def feed(self, data: bytes) -> bytes:
         """Returns the events that `data` completes."""
         data = self._partial + data
-        end = data.rfind(b"\n\n")
-        if end < 0:
-            self._partial = data
-            return b""
-        complete, self._partial = data[: end + 2], data[end + 2 :]
-        for event in complete.split(b"\n\n")[:-1]:
-            self.count += 1
-            for line in event.split(b"\n"):
-                if line.startswith(_ID_FIELD):
-                    self.last_id = (
-                        line[len(_ID_FIELD) :].strip().decode("latin-1")
-                    )
-        return complete
+        end = 0
+        for match in _EVENT_END.finditer(data):
+            self._record_event(data[end : match.start()])
+            end = match.end()
+        self._partial = data[end:]
+        return data[:end]
 
     @property
     def overflowing(self) -> bool:
@@ -50,7 +49,31 @@
         """Discards the incomplete event of a failed attempt."""
         self._partial = b""
 
-    def take_partial(self) -> bytes:
-        """Returns and removes the bytes after the last complete event."""
-        partial, self._partial = self._partial, b""
-        return partial
+    def finish(self, framing: connections.Framing) -> bytes:
+        """Ends the stream; returns the blank lines after the last event.
+
+        Args:
+            framing: How the end of the stream was declared.
+
+        Raises:
+            TruncatedStreamError: If the stream ended inside an event, or
+                before its first event with the connection.
+        """
+        rest, self._partial = self._partial, b""
+        if rest.strip(b"\r\n"):
+            raise _failures.TruncatedStreamError(
+                f"the stream ended {len(rest)} bytes into an event after event "
+                f"'{self.last_id}'; end declared by: {framing}"
+            )
+        is_empty = not self.count and not self.last_id
+        if is_empty and framing is connections.Framing.CONNECTION:
+            raise _failures.TruncatedStreamError(
+                "the connection ended before the first event"
+            )
+        return rest
+
+    def _record_event(self, event: bytes) -> None:
+        self.count += 1
+        for line in event.splitlines():
+            if line.startswith(_ID_FIELD):
+                self.last_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
--- a/packages/hollycart/src/hollycart/gateway/_failures.py
+++ b/packages/hollycart/src/hollycart/gateway/_failures.py
@@ -11,6 +11,12 @@
     code = "endpoint_lost"
 
 
+class TruncatedStreamError(base.EndpointFailedError):
+    """A stream ended before it was complete, without an error."""
+
+    code = "stream_truncated"
+
+
 class HelperRejectedError(base.NotExecutedError):
     """An endpoint rejected a request because of one of its helpers.
 
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/_explain.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/_explain.py
@@ -15,6 +15,7 @@
 _LATE_MARGIN_MS = 150.0
 # A longer predicted time to the first event means that the request was queued.
 _QUEUED_PREDICTION_MS = 1000.0
+_BROKEN_RESPONSE_REASONS = ("endpoint_failed", "stream_truncated")
 # Events that report the state of the system as an instance observes it, or the
 # life cycle of the instance.
 _STATE_EVENTS = frozenset(
@@ -195,7 +196,7 @@
                 "foreign_answer",
                 f"{line.fields['endpoint']} answered another request",
             )
-        broken = line.fields.get("reason") == "endpoint_failed"
+        broken = line.fields.get("reason") in _BROKEN_RESPONSE_REASONS
         if line.event in ("repeated", "failed") and broken:
             return "endpoint_broke_off", str(line.fields["detail"])
     return None
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/tests/test_explain.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/tests/test_explain.py
@@ -50,6 +50,15 @@
     assert diagnosis.explain("r", queued).cause == "queued"
 
 
+@pytest.mark.parametrize("reason", ["endpoint_failed", "stream_truncated"])
+def test_broken_off_response_is_attributed_to_its_endpoint(reason):
+    lines = [
+        line("failed", request="r", reason=reason, detail="e broke off",
+             config_version=1),
+    ]  # fmt: skip
+    assert diagnosis.explain("r", lines).cause == "endpoint_broke_off"
+
+
 def test_unknown_request_has_no_explanation():
     assert diagnosis.explain("r", [line("started")]) is None
 
