Reset the connection of an HTTP/1.0 caller whose response is cut

A response of unknown length to HTTP/1.0 ends with its connection, so after abort, after the server was closed and after a kill of the process its caller took the part it had for the whole. Such a connection is now reset unless the response is finished; the kernel does so for a killed process, too.

--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -18,6 +18,7 @@
 _READ_BYTES = 65536
 _MAX_READ_AHEAD_BYTES = 65536  # received after the request in progress
 _BACKLOG = 1024
+_HTTP_1_0 = b"1.0"
 _WRITE_TIMEOUT_MS = 10000.0  # a caller that reads nothing is disconnected
 # TCP_USER_TIMEOUT: Linux drops a connection whose sent bytes are not
 # acknowledged for this long.
@@ -116,7 +117,7 @@
         Raises:
             CallerGoneError: If the caller disconnected or does not read.
         """
-        self._connection.send_event(h11.EndOfMessage())
+        self._connection.finish_response()
 
     def abort(self) -> None:
         """Closes the connection, which truncates the response."""
@@ -133,6 +134,7 @@
         self._http = self._new_parser()
         self._read_ahead_data = b""
         self._caller_gone = False
+        self._resets_on_close = False
         self._watcher: Any = None
         self._thread: Any = None
 
@@ -181,10 +183,29 @@
             fields.append((b"Content-Length", str(length).encode()))
         if self.server.draining:
             fields.append((b"Connection", b"close"))
+        if length is None and self._http.their_http_version == _HTTP_1_0:
+            # Only the end of the connection will declare the end of the body,
+            # so an unfinished response has to end with a reset.
+            self._set_reset_on_close(True)
         self.send_event(
             h11.Response(status_code=status, headers=fields, reason=b"")
         )
 
+    def finish_response(self) -> None:
+        """Ends the response."""
+        self.send_event(h11.EndOfMessage())
+        if self._resets_on_close:
+            self._set_reset_on_close(False)
+
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        try:
+            if self._sock is None:
+                raise CallerGoneError("connection to the caller is closed")
+            _sockets.set_reset_on_close(self._sock, enabled)
+        except OSError as exc:
+            raise CallerGoneError(str(exc)) from exc
+        self._resets_on_close = enabled
+
     def send_event(self, event: Any) -> None:
         """Sends one h11 event of the response.
 
@@ -352,7 +373,7 @@
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self.send_head(status, ((b"Connection", b"close"),), 0)
-        self.send_event(h11.EndOfMessage())
+        self.finish_response()
 
 
 class HttpExchangeServer:
--- a/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
@@ -1,5 +1,6 @@
 """Socket options of all TCP connections."""
 
+import struct
 from typing import Any
 
 from eventlet.green import socket
@@ -23,3 +24,20 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
     )
+
+
+def set_reset_on_close(sock: Any, enabled: bool) -> None:
+    """Sets whether closing the connection resets it.
+
+    The kernel closes the sockets of a process that is killed in the same way.
+
+    Args:
+        sock: A TCP socket.
+        enabled: Whether to reset instead of closing in an orderly way.
+
+    Raises:
+        OSError: If the connection is already closed.
+    """
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0)
+    )
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
@@ -0,0 +1,99 @@
+import socket
+
+import eventlet
+from eventlet.green import socket as green_socket
+import pytest
+
+from hollycart_core import connections
+
+
+@pytest.fixture
+def start_server(clock):
+    """Starts a server with the given handler; returns it."""
+    servers = []
+
+    def start(handler):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        server = connections.HttpExchangeServer(
+            f"127.0.0.1:{port}", handler, clock
+        )
+        server.start()
+        servers.append(server)
+        return server
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def receive_all(server, version):
+    """Returns the received bytes, and whether the connection was reset."""
+    host, _, port = server.address.rpartition(":")
+    sock = green_socket.socket()
+    sock.connect((host, int(port)))
+    sock.sendall(b"GET /a HTTP/%s\r\nHost: h\r\n\r\n" % version)
+    received = b""
+    while True:
+        try:
+            # eventlet's recv reports a reset as an orderly close.
+            data = sock.fd.recv(65536)
+        except BlockingIOError:
+            eventlet.sleep(0.005)
+            continue
+        except ConnectionResetError:
+            return received, True
+        if not data:
+            return received, False
+        received += data
+
+
+def abort_in_the_middle(exchange):
+    exchange.start(200, (), None)
+    exchange.write(b"abc")
+    eventlet.sleep(0.05)
+    exchange.abort()
+
+
+def test_aborted_response_to_http_1_0_does_not_look_complete(start_server):
+    server = start_server(abort_in_the_middle)
+    received, was_reset = receive_all(server, b"1.0")
+    assert received.endswith(b"abc")
+    assert was_reset
+
+
+def test_aborted_chunked_response_lacks_its_last_chunk(start_server):
+    server = start_server(abort_in_the_middle)
+    received, was_reset = receive_all(server, b"1.1")
+    assert b"abc" in received
+    assert not received.endswith(b"0\r\n\r\n")
+    assert not was_reset
+
+
+def test_response_to_http_1_0_cut_by_closing_the_server_is_reset(start_server):
+    handlers = []
+
+    def handler(exchange):
+        exchange.start(200, (), None)
+        exchange.write(b"abc")
+        handlers.append(eventlet.getcurrent())
+        eventlet.sleep(30)
+
+    server = start_server(handler)
+    receiver = eventlet.spawn(receive_all, server, b"1.0")
+    while not handlers:
+        eventlet.sleep(0.005)
+    server.close()
+    assert receiver.wait()[1]
+
+
+def test_complete_response_to_http_1_0_ends_orderly(start_server):
+    def handler(exchange):
+        exchange.start(200, (), None)
+        exchange.write(b"abc")
+        exchange.finish()
+
+    received, was_reset = receive_all(start_server(handler), b"1.0")
+    assert received.endswith(b"abc")
+    assert not was_reset
