Let soak engines send streams without a length and cut them inside events

One stream in four has neither a length nor chunks now, and a new kind of fault lets an engine end its streams by an orderly close inside an event.

--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -6,7 +6,9 @@
 from typing import NamedTuple
 
 from eventlet import semaphore
+import msgspec
 
+from hollycart_bench.soak import _unframed
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import placement
@@ -17,7 +19,20 @@
 _PLAIN_SERVICE_TIME_MS = 60.0
 _MIN_EVENTS = 5
 _EVENT_COUNT_RANGE = 20
+_UNFRAMED_INTERVAL = 4  # one in so many streams has no length and no chunks
 HELD_PATH = b"/control/held"
+FAULTS_PATH = b"/control/faults"
+
+
+class EngineFaults(msgspec.Struct):
+    """Faults that the engine simulates.
+
+    Attributes:
+        closes_inside_event: Whether streams end inside an event, by an orderly
+            close and without a declared length.
+    """
+
+    closes_inside_event: bool = False
 
 
 class _Reservation(NamedTuple):
@@ -49,6 +64,7 @@
         self.engine_id = engine_id
         self.parameters = parameters
         self.clock = clock
+        self.faults = EngineFaults()
         self.engine_codec = hollycart_standins.EngineCodec()
         self.server = connections.HttpExchangeServer(
             address, self.handle, clock
@@ -77,6 +93,10 @@
             held = str(len(self._active_reservations())).encode()
             exchange.respond(200, (), held)
             return
+        if exchange.head.target == FAULTS_PATH:
+            self.faults = msgspec.json.decode(exchange.body, type=EngineFaults)
+            exchange.respond(200, (), b"")
+            return
         req = self.engine_codec.decode_engine_request(
             exchange.head, exchange.body
         )
@@ -129,13 +149,22 @@
             self.clock.sleep_ms(
                 model.prefill_ms(req.prompt_tokens, req.prefill_engine_count)
             )
-        exchange.start(200, self.engine_codec.encode_success(req, True), None)
         last_number = event_count(req.request_id)
+        closes_inside_event = self.faults.closes_inside_event
+        response: connections.Exchange | _unframed.UnframedResponse = exchange
+        if closes_inside_event or last_number % _UNFRAMED_INTERVAL == 0:
+            response = _unframed.UnframedResponse(exchange)
+        response.start(200, self.engine_codec.encode_success(req, True), None)
         for number in range(req.resume_after + 1, last_number + 1):
             self.clock.sleep_ms(model.decode_step_ms(1, req.prompt_tokens))
-            data = event_data(req.request_id, number)
-            exchange.write(self.engine_codec.encode_event(number, data))
-        exchange.finish()
+            event = self.engine_codec.encode_event(
+                number, event_data(req.request_id, number)
+            )
+            if closes_inside_event and number > req.resume_after + 1:
+                response.write(event[: len(event) // 2])
+                break
+            response.write(event)
+        response.finish()
 
     def _handle_reservation(
         self,
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -62,6 +62,7 @@
             "engine_cut": self._engine_cut,
             "engine_reset": self._engine_reset,
             "engine_slow": self._engine_slow,
+            "engine_closes_inside_event": self._engine_closes_inside_event,
             "engine_leaves": self._engine_leaves,
             "engine_vanishes": self._engine_vanishes,
             "store_down": lambda: self._store_down(_STORE_OUTAGE_S),
@@ -91,6 +92,15 @@
     def _choose_engine(self) -> str:
         return self.rng.choice(sorted(self.system.engines))
 
+    def _choose_model_engine(self) -> str:
+        return self.rng.choice(
+            sorted(
+                engine_id
+                for engine_id, endpoint in self.system.endpoints.items()
+                if endpoint.service == _configuration.MODEL_SERVICE
+            )
+        )
+
     def _kill(self) -> str:
         name = self._choose_instance()
         process = self.system.entry_instances[name].process
@@ -159,6 +169,13 @@
         proxy.delay_ms = 0.0
         return engine
 
+    def _engine_closes_inside_event(self) -> str:
+        engine = self._choose_model_engine()
+        self.system.set_engine_faults(engine, closes_inside_event=True)
+        eventlet.sleep(_PROXY_FAULT_S)
+        self.system.set_engine_faults(engine)
+        return engine
+
     def _engine_leaves(self) -> str:
         engine = self._choose_engine()
         acked_ms = self.system.put_endpoint(engine, True)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -157,6 +157,19 @@
         body = msgspec.json.encode({"down": down, "delay_ms": delay_ms})
         self._send("/control/faults", body)
 
+    def set_engine_faults(
+        self, engine_id: str, closes_inside_event: bool = False
+    ) -> None:
+        """Sets the faults of one engine, around its proxy."""
+        faults = _engine.EngineFaults(closes_inside_event)
+        address = self._targets[engine_id.partition("-")[0]]
+        self._client.send(
+            "POST",
+            f"http://{address}{_engine.FAULTS_PATH.decode()}",
+            msgspec.json.encode(faults),
+            timeout_ms=_CALL_TIMEOUT_MS,
+        )
+
     def start_engine(self, engine_id: str) -> str:
         """Starts and publishes a new incarnation of an engine that has exited.
 
--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -123,6 +123,17 @@
         """Closes the connection, which truncates the response."""
         self._connection.abort()
 
+    def detach(self) -> Any:
+        """Returns the socket, which the server no longer uses.
+
+        The caller of this method sends the response and closes the socket.
+
+        Raises:
+            CallerGoneError: If the caller disconnected.
+        """
+        self.response_started = True
+        return self._connection.detach()
+
 
 class _ServerConnection:
     """Connection of one caller."""
@@ -170,6 +181,14 @@
         self._http.send_failed()
         self.close()
 
+    def detach(self) -> Any:
+        """Returns the socket and serves no further requests on it."""
+        self._stop_watcher()
+        sock, self._sock = self._sock, None
+        if sock is None:
+            raise CallerGoneError("connection to the caller is closed")
+        return sock
+
     def send_head(
         self, status: int, headers: _messages.Headers, length: int | None
     ) -> None:
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
@@ -97,3 +97,14 @@
     received, was_reset = receive_all(start_server(handler), b"1.0")
     assert received.endswith(b"abc")
     assert not was_reset
+
+
+def test_detached_connection_is_left_to_the_handler(start_server):
+    def handler(exchange):
+        sock = exchange.detach()
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nabc")
+        sock.close()
+
+    received, was_reset = receive_all(start_server(handler), b"1.1")
+    assert received == b"HTTP/1.1 200 OK\r\n\r\nabc"
+    assert not was_reset
