Send nothing to endpoints that say they are leaving or ask for a pause

New rules of the users: Server-Leaving in any response means that an endpoint gets no new requests, whatever the store lists; 503 with Retry-After means that it wants none from this instance for so long.

Heads of responses to requests, reservations and load queries are read for them; leaving is announced to the cell. If all endpoints of a service are in a pause, the caller is refused at once with the earliest end; a single endpoint's Retry-After no longer reaches the caller, since another one may accept the request sooner.

--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -15,7 +15,9 @@
 from hollycart_core.placement._load_view import LoadView
 from hollycart_core.placement._offers import max_remote_loss
 from hollycart_core.placement._placer import Placer
+from hollycart_core.placement._restrictions import EndpointRestrictions
 from hollycart_core.placement._retry_budget import SharedRetryBudget
+from hollycart_core.placement._types import MIN_RETRY_AFTER_MS
 from hollycart_core.placement._types import Assignment
 from hollycart_core.placement._types import Endpoint
 from hollycart_core.placement._types import Placement
@@ -30,8 +32,10 @@
     "CellReport",
     "Endpoint",
     "EndpointHealth",
+    "EndpointRestrictions",
     "EngineModel",
     "LoadView",
+    "MIN_RETRY_AFTER_MS",
     "Placement",
     "Placer",
     "Prompt",
--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -15,6 +15,8 @@
         zone: Availability zone.
         slots: Number of requests that it serves concurrently.
         leaving: Whether it is being drained and receives no new requests.
+        born_ms: Unix time of its start, in ms; 0 if unknown. An endpoint that
+            starts again under the same id has a later one.
     """
 
     id: str
@@ -23,6 +25,7 @@
     zone: str
     slots: int
     leaving: bool = False
+    born_ms: int = 0
 
 
 class Prompt(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_admission.py
+++ b/packages/hollycart/src/hollycart/gateway/_admission.py
@@ -1,5 +1,7 @@
 """Admission control: checks requests against the configuration in force."""
 
+from collections.abc import Sequence
+
 import xxhash
 
 from hollycart.gateway import _codec
@@ -25,13 +27,18 @@
 
     Args:
         platform_state: Configuration and endpoints in force.
+        restrictions: What the endpoints asked for in their responses.
         clock: Source of time.
     """
 
     def __init__(
-        self, platform_state: _state.PlatformState, clock: base.Clock
+        self,
+        platform_state: _state.PlatformState,
+        restrictions: placement.EndpointRestrictions,
+        clock: base.Clock,
     ) -> None:
         self.platform_state = platform_state
+        self.restrictions = restrictions
         self.clock = clock
         self._draining_since_ms: float | None = None
         self._grace_ms = 0.0
@@ -122,25 +129,35 @@
         return team
 
     def check_before_send(
-        self, request: _job.AdmittedRequest, endpoint: placement.Endpoint
+        self,
+        request: _job.AdmittedRequest,
+        endpoints: Sequence[placement.Endpoint],
     ) -> None:
-        """Checks the API key and the endpoint again just before the send.
+        """Checks the API key and the endpoints again just before the send.
 
-        Both may have been removed since the request was admitted.
+        They may have been removed since the request was admitted, and the
+        endpoints may have asked for no more requests.
+
+        Args:
+            request: The admitted request.
+            endpoints: Endpoints of the attempt, the primary first.
 
         Raises:
-            HollycartError: If the request may not be sent to the endpoint.
+            HollycartError: If the request may not be sent to the endpoints.
         """
         cfg = self.platform_state.config
         assert cfg is not None
         if request.team is not None:
             self.authorize(cfg, request.route, request.meta)
-        known = self.platform_state.endpoints.get(endpoint.id)
-        if known is None or known.leaving:
-            raise base.NotExecutedError(
-                f"{endpoint.id} is leaving or no longer listed",
-                _failures.RETRY_AFTER_MS,
-            )
+        now_ms = self.clock.now_ms()
+        for endpoint in endpoints:
+            known = self.platform_state.endpoints.get(endpoint.id)
+            if known is not None and self.restrictions.accepts(known, now_ms):
+                continue
+            detail = f"{endpoint.id} is leaving, paused or no longer listed"
+            if endpoint is not endpoints[0]:
+                raise _failures.HelperRejectedError(detail, endpoint.id)
+            raise base.NotExecutedError(detail, _failures.RETRY_AFTER_MS)
 
 
 def _hash_fraction(request_id: str) -> float:
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -5,6 +5,7 @@
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
 from hollycart.gateway import _monitor
+from hollycart.gateway import _notices
 from hollycart.gateway import _waiting
 from hollycart_core import base
 from hollycart_core import connections
@@ -37,6 +38,7 @@
 
     Args:
         codec: Translates the platform's messages.
+        notices: Records what endpoints ask for in their responses.
         monitor: Probes endpoints that are late.
         dependencies: Aborts the attempt if one of its endpoints becomes
             unreachable.
@@ -49,6 +51,7 @@
     def __init__(
         self,
         codec: _codec.RequestCodec,
+        notices: _notices.EndpointNotices,
         monitor: _monitor.EndpointMonitor,
         dependencies: _waiting.AttemptDependencies,
         log: observe.DecisionLog,
@@ -56,6 +59,7 @@
         stall_ms: float,
     ) -> None:
         self.codec = codec
+        self.notices = notices
         self.monitor = monitor
         self.dependencies = dependencies
         self.log = log
@@ -172,7 +176,7 @@
         """
         for _ in range(_MAX_MISMATCHED_RESPONSES):
             head = self._read_head(request, progress, chosen, conn)
-            response = self.codec.decode_response(head)
+            response = self.notices.record(chosen.endpoint, head)
             if response.request_id == request.meta.request_id:
                 return head, response
             if response.not_executed and not response.request_id:
@@ -330,9 +334,9 @@
             return _failures.HelperRejectedError(
                 f"{detail} because of helper {helper.id}", helper.id
             )
-    return base.NotExecutedError(
-        detail, response.retry_after_ms or _failures.RETRY_AFTER_MS
-    )
+    # The endpoint's Retry-After binds this instance, not the caller: another
+    # endpoint may accept the request sooner.
+    return base.NotExecutedError(detail, _failures.RETRY_AFTER_MS)
 
 
 def _helper_addresses(
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -23,6 +23,7 @@
         platform_state: Endpoints in force.
         placer: Chooses endpoints for prompts.
         health: Health of the endpoints.
+        restrictions: What the endpoints asked for in their responses.
         book: Division of the fleet into cells.
         delegator: Offers prompts to other cells.
         zone: Availability zone of this instance.
@@ -36,6 +37,7 @@
         platform_state: _state.PlatformState,
         placer: placement.Placer,
         health: placement.EndpointHealth,
+        restrictions: placement.EndpointRestrictions,
         book: _address_book.AddressBook,
         delegator: _delegator.Delegator,
         zone: str,
@@ -43,6 +45,7 @@
         self.platform_state = platform_state
         self.placer = placer
         self.health = health
+        self.restrictions = restrictions
         self.book = book
         self.delegator = delegator
         self.zone = zone
@@ -61,7 +64,7 @@
         Raises:
             NoEndpointError: If the service has no endpoint left to try.
             OverloadedError: If the caller would abandon the request before the
-                predicted first event.
+                predicted first event, or all endpoints asked for a pause.
             MemoryUnavailableError: If no endpoints have enough KV-cache memory
                 now.
         """
@@ -82,7 +85,7 @@
                 request.meta.request_id,
                 service.name,
                 prompt,
-                progress.excluded,
+                progress.excluded | self._restricted(service.name, now_ms),
                 own,
             )
             or own
@@ -128,7 +131,7 @@
         assert service.engine is not None
         usable = [
             e
-            for e in self._listed(service.name)
+            for e in self._accepting(service.name, now_ms)
             if e.id not in excluded and self.book.is_in_cell(e.zone)
         ]
         healthy = [e for e in usable if self.health.usable(e.id, now_ms)]
@@ -143,7 +146,11 @@
             return {}
         return {
             name: self.placer.count_open(
-                [e for e in self._listed(name) if self.book.is_in_cell(e.zone)],
+                [
+                    e
+                    for e in self._accepting(name, now_ms)
+                    if self.book.is_in_cell(e.zone)
+                ],
                 now_ms,
             )
             for name, service in cfg.services.items()
@@ -209,7 +216,10 @@
     def _candidates(
         self, service: str, excluded: set[str], now_ms: float
     ) -> list[placement.Endpoint]:
-        usable = [e for e in self._listed(service) if e.id not in excluded]
+        accepting = self._accepting(service, now_ms)
+        usable = [e for e in accepting if e.id not in excluded]
+        if not accepting:
+            self._check_pauses(service, now_ms)
         if not usable:
             raise base.NoEndpointError(
                 f"no endpoint of service {service} left to try",
@@ -222,5 +232,39 @@
         return [
             e
             for e in self.platform_state.endpoints.values()
-            if e.service == service and not e.leaving
+            if e.service == service and not self.restrictions.is_leaving(e)
         ]
+
+    def _accepting(
+        self, service: str, now_ms: float
+    ) -> list[placement.Endpoint]:
+        return [
+            e
+            for e in self._listed(service)
+            if self.restrictions.accepts(e, now_ms)
+        ]
+
+    def _restricted(self, service: str, now_ms: float) -> set[str]:
+        """Returns the listed endpoints that accept no requests."""
+        return {
+            e.id
+            for e in self.platform_state.endpoints.values()
+            if e.service == service and not self.restrictions.accepts(e, now_ms)
+        }
+
+    def _check_pauses(self, service: str, now_ms: float) -> None:
+        """Refuses the request if all endpoints of the service are in a pause.
+
+        The load it answers: all engines are full and ask for a pause. A request
+        that waited for the end of the pause would only hold its caller.
+        """
+        pauses_ms = [
+            self.restrictions.pause_left_ms(e, now_ms)
+            for e in self._listed(service)
+        ]
+        if pauses_ms:
+            raise base.OverloadedError(
+                f"all {len(pauses_ms)} endpoints of service {service} asked "
+                f"for a pause, the first ends in {min(pauses_ms):.0f} ms",
+                max(min(pauses_ms), placement.MIN_RETRY_AFTER_MS),
+            )
--- a/packages/hollycart/src/hollycart/gateway/_codec.py
+++ b/packages/hollycart/src/hollycart/gateway/_codec.py
@@ -68,6 +68,7 @@
             given.
         retry_after_ms: Time after which to retry, in ms; None if not given.
         faulty_endpoint: Id or address of the endpoint that caused a rejection.
+        leaving: Whether the endpoint that responded states that it is leaving.
     """
 
     request_id: str
@@ -76,6 +77,7 @@
     running: int | None
     retry_after_ms: float | None
     faulty_endpoint: str = ""
+    leaving: bool = False
 
 
 class EndpointLoad(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -30,6 +30,7 @@
     Args:
         peers: Exchange of datagrams with the other instances.
         platform_state: Endpoints in force.
+        restrictions: What the endpoints asked for in their responses.
         log: Decision log.
         clock: Source of time.
         rng: Source of randomness.
@@ -39,12 +40,14 @@
         self,
         peers: _peers.PeerExchange,
         platform_state: _state.PlatformState,
+        restrictions: placement.EndpointRestrictions,
         log: observe.DecisionLog,
         clock: base.Clock,
         rng: random.Random,
     ) -> None:
         self.peers = peers
         self.platform_state = platform_state
+        self.restrictions = restrictions
         self.log = log
         self.clock = clock
         self.rng = rng
@@ -208,7 +211,10 @@
         assignments = _messages.unpack(reply.assignments, self.clock.now_ms())
         known = self.platform_state.endpoints
         if any(
-            a.endpoint not in known or known[a.endpoint].leaving
+            a.endpoint not in known
+            or not self.restrictions.accepts(
+                known[a.endpoint], self.clock.now_ms()
+            )
             for a in assignments
         ):
             self._report_progress(reply.attempt_id, ip, ended=True)
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -15,7 +15,9 @@
 from hollycart.gateway import _delegator
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
+from hollycart.gateway import _messages
 from hollycart.gateway import _monitor
+from hollycart.gateway import _notices
 from hollycart.gateway import _peers
 from hollycart.gateway import _reserver
 from hollycart.gateway import _state
@@ -89,7 +91,19 @@
         self.zone = zone
         self.stall_ms = stall_ms
         self.pool = connections.ConnectionPool(clock)
-        self.reserver = _reserver.Reserver(codec, clock, hold_max_ms)
+        self.restrictions = placement.EndpointRestrictions()
+        self.notices = _notices.EndpointNotices(
+            codec,
+            self.restrictions,
+            platform_state,
+            peers.broadcast_leaving,
+            log,
+            metrics,
+            clock,
+        )
+        self.reserver = _reserver.Reserver(
+            codec, self.notices, clock, hold_max_ms
+        )
         self.dependencies = _waiting.AttemptDependencies()
         self.monitor = _monitor.EndpointMonitor(
             platform_state,
@@ -99,12 +113,20 @@
             self.dependencies.abort_dependents,
             peers.broadcast_suspect,
         )
-        self.admission = _admission.Admission(platform_state, clock)
+        self.admission = _admission.Admission(
+            platform_state, self.restrictions, clock
+        )
         self.delegator = _delegator.Delegator(
-            peers, platform_state, log, clock, rng
+            peers, platform_state, self.restrictions, log, clock, rng
         )
         self.chooser = _chooser.EndpointChooser(
-            platform_state, placer, health, peers.book, self.delegator, zone
+            platform_state,
+            placer,
+            health,
+            self.restrictions,
+            peers.book,
+            self.delegator,
+            zone,
         )
         peers.count_open_endpoints = self.chooser.count_open_endpoints
         self._delegate = _delegate.Delegate(
@@ -114,7 +136,13 @@
             self.chooser, self.delegator, peers, log, clock
         )
         self._attempt_relay = _attempt.AttemptRelay(
-            codec, self.monitor, self.dependencies, log, clock, stall_ms
+            codec,
+            self.notices,
+            self.monitor,
+            self.dependencies,
+            log,
+            clock,
+            stall_ms,
         )
         self._ids = itertools.count()
 
@@ -123,6 +151,17 @@
         self.monitor.start()
         self.delegator.start()
         self._delegate.start()
+        self.peers.subscribe(
+            _messages.EndpointLeaving, self._handle_leaving_announced
+        )
+
+    def _handle_leaving_announced(
+        self, message: _messages.EndpointLeaving, ip: str
+    ) -> None:
+        del ip
+        self.notices.record_announced(
+            message.endpoint, message.born_ms, message.sender
+        )
 
     def close(self) -> None:
         """Stops the probes and closes idle connections."""
@@ -309,7 +348,9 @@
             if chosen.reservations:
                 self.reserver.reserve(attempt_id, chosen.reservations)
             conn = self._connect(endpoint, request)
-            self.admission.check_before_send(request, endpoint)
+            self.admission.check_before_send(
+                request, (endpoint, *chosen.helpers)
+            )
             recorder = self._make_recorder(request, progress, chosen)
             self._attempt_relay.run(
                 request, progress, chosen, conn, attempt_id, recorder
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -127,7 +127,12 @@
             cfg.hold_max_ms,
         )
         self._survey = _survey.LoadSurvey(
-            self.peers, self.platform_state, self.codec, self.log, clock
+            self.peers,
+            self.platform_state,
+            self.codec,
+            self.forwarder.notices,
+            self.log,
+            clock,
         )
         self.front_server = connections.HttpExchangeServer(
             cfg.front_address, self.forwarder.handle, clock
@@ -308,6 +313,12 @@
             "datagrams_malformed": float(self.peers.malformed),
             "load_updates_foreign": float(self.peers.foreign_updates),
             "endpoints": float(len(self.platform_state.endpoints)),
+            "endpoints_restricted": float(
+                sum(
+                    not self.forwarder.restrictions.accepts(e, now_ms)
+                    for e in self.platform_state.endpoints.values()
+                )
+            ),
             "endpoints_unreachable": float(
                 len(self.forwarder.health.unreachable())
             ),
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -170,6 +170,20 @@
     endpoint: str
 
 
+class EndpointLeaving(msgspec.Struct, tag="e", array_like=True):
+    """Announces that an endpoint told the sender that it is leaving.
+
+    Attributes:
+        sender: Name of the instance.
+        endpoint: Id of the endpoint.
+        born_ms: Start of its incarnation, Unix time in ms; 0 if unknown.
+    """
+
+    sender: str
+    endpoint: str
+    born_ms: int
+
+
 class EndpointReport(msgspec.Struct, array_like=True):
     """Load of an endpoint that no instance accounts for.
 
@@ -274,6 +288,7 @@
     | FreshnessReply
     | StateChanged
     | EndpointSuspected
+    | EndpointLeaving
     | CellAnnouncement
     | PlacementRequest
     | PlacementReply
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -292,6 +292,13 @@
             _messages.EndpointSuspected(self.name, endpoint), self.addresses()
         )
 
+    def broadcast_leaving(self, endpoint: str, born_ms: int) -> None:
+        """Announces to the cell that an endpoint is leaving."""
+        self._send(
+            _messages.EndpointLeaving(self.name, endpoint, born_ms),
+            self.addresses(),
+        )
+
     def addresses(self) -> list[str]:
         """Returns the IP addresses that datagrams are broadcast to."""
         return self.book.in_cell()
--- a/packages/hollycart/src/hollycart/gateway/_reserver.py
+++ b/packages/hollycart/src/hollycart/gateway/_reserver.py
@@ -5,6 +5,7 @@
 
 from hollycart.gateway import _codec
 from hollycart.gateway import _failures
+from hollycart.gateway import _notices
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import placement
@@ -24,14 +25,20 @@
 
     Args:
         codec: Encodes the calls to endpoints.
+        notices: Records what endpoints ask for in their responses.
         clock: Source of time.
         hold_max_ms: Longest reservation that endpoints accept, in ms.
     """
 
     def __init__(
-        self, codec: _codec.RequestCodec, clock: base.Clock, hold_max_ms: float
+        self,
+        codec: _codec.RequestCodec,
+        notices: _notices.EndpointNotices,
+        clock: base.Clock,
+        hold_max_ms: float,
     ) -> None:
         self.codec = codec
+        self.notices = notices
         self.clock = clock
         self.hold_max_ms = hold_max_ms
         self._renewals: dict[str, base.PeriodicTask] = {}
@@ -136,6 +143,7 @@
             conn.start(_CALL_TIMEOUT_MS)
             conn.send(head, body, _CALL_TIMEOUT_MS)
             response = conn.read_head(_CALL_TIMEOUT_MS)
+            self.notices.record(endpoint, response)
             conn.read_body(_CALL_TIMEOUT_MS, _MAX_RESPONSE_BYTES)
         except base.HollycartError as exc:
             logging.info(
--- a/packages/hollycart/src/hollycart/gateway/_survey.py
+++ b/packages/hollycart/src/hollycart/gateway/_survey.py
@@ -9,6 +9,7 @@
 from hollycart import observe
 from hollycart.gateway import _codec
 from hollycart.gateway import _messages
+from hollycart.gateway import _notices
 from hollycart.gateway import _peers
 from hollycart.gateway import _state
 from hollycart_core import base
@@ -32,6 +33,7 @@
         peers: Exchange of datagrams with the other instances.
         platform_state: Configuration and endpoints in force.
         codec: Translates the platform's messages.
+        notices: Records what endpoints ask for in their responses.
         log: Decision log.
         clock: Source of time.
     """
@@ -41,12 +43,14 @@
         peers: _peers.PeerExchange,
         platform_state: _state.PlatformState,
         codec: _codec.RequestCodec,
+        notices: _notices.EndpointNotices,
         log: observe.DecisionLog,
         clock: base.Clock,
     ) -> None:
         self.peers = peers
         self.platform_state = platform_state
         self.codec = codec
+        self.notices = notices
         self.log = log
         self.clock = clock
         self._thread: Any = None
@@ -78,7 +82,8 @@
         queried = [
             e
             for e in self.platform_state.endpoints.values()
-            if self.peers.book.is_in_cell(e.zone)
+            if self.notices.restrictions.accepts(e, self.clock.now_ms())
+            and self.peers.book.is_in_cell(e.zone)
             and e.service in cfg.services
             and cfg.services[e.service].engine is not None
         ]
@@ -105,6 +110,7 @@
             conn.start(_QUERY_TIMEOUT_MS)
             conn.send(self.codec.encode_load_query(), b"", _QUERY_TIMEOUT_MS)
             head = conn.read_head(_QUERY_TIMEOUT_MS)
+            self.notices.record(endpoint, head)
             body = conn.read_body(_QUERY_TIMEOUT_MS, _MAX_BODY_BYTES)
             return self.codec.decode_load(head, body)
         except base.HollycartError as exc:
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -72,8 +72,9 @@
             bool(find(head.headers, b"seal")),
             bool(find(head.headers, b"not-run")),
             None,
-            None,
+            float(find(head.headers, b"pause") or "nan") * 1000.0,
             find(head.headers, b"faulty"),
+            bool(find(head.headers, b"leaving")),
         )
 
     def encode_failure(self, request_id, retry_after_ms):
@@ -135,6 +136,18 @@
         def reject(exchange, fields):
             exchange.respond(503, ((b"Not-Run", b"1"),), b"")
 
+        @staticmethod
+        def pause(seconds):
+            def handler(exchange, fields):
+                pause = (b"Pause", str(seconds).encode())
+                exchange.respond(503, ((b"Not-Run", b"1"), pause), b"")
+
+            return handler
+
+        @staticmethod
+        def leave(exchange, fields):
+            exchange.respond(200, (*seal(fields), (b"Leaving", b"1")), b"done")
+
         @staticmethod
         def fail(exchange, fields):
             exchange.respond(500, seal(fields), b"oops")
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -90,13 +90,15 @@
         )
         self.peers._sock = Socket(network, self.peers)
         network.exchanges[ip] = self.peers
+        self.restrictions = placement.EndpointRestrictions()
         self.delegator = _delegator.Delegator(
-            self.peers, self.state, log, clock, rng
+            self.peers, self.state, self.restrictions, log, clock, rng
         )
         self.chooser = _chooser.EndpointChooser(
             self.state,
             placement.Placer(view, health),
             health,
+            self.restrictions,
             self.peers.book,
             self.delegator,
             zone,
--- a/packages/hollycart/src/hollycart/gateway/tests/test_survey.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_survey.py
@@ -21,6 +21,7 @@
         system.peers,
         system.platform_state,
         system.forwarder.codec,
+        system.forwarder.notices,
         system.log,
         system.clock,
     )
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -191,6 +191,39 @@
     endpoint: str
 
 
+class EndpointLeaving(Decision, tag="endpoint_leaving"):
+    """An endpoint stated that it is leaving; it gets no more requests.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        born_ms: Start of its incarnation, Unix time in ms; 0 if unknown.
+        source: `response` if it said so to this instance, else the instance
+            that announced it.
+        listed_leaving: Whether the state lists it as leaving as well.
+        age_ms: Age of the state.
+    """
+
+    endpoint: str
+    born_ms: int
+    source: str
+    listed_leaving: bool
+    age_ms: float
+
+
+class EndpointPaused(Decision, tag="endpoint_paused"):
+    """An endpoint asked this instance for a pause.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        asked_ms: The time that it asked for.
+        pause_ms: The time for which it gets no requests.
+    """
+
+    endpoint: str
+    asked_ms: float
+    pause_ms: float
+
+
 class PeerFound(Decision, tag="peer_found"):
     """The first datagram of another instance arrived."""
 
@@ -380,6 +413,8 @@
     StateLearned,
     EndpointUnreachable,
     EndpointReachable,
+    EndpointLeaving,
+    EndpointPaused,
     PeerFound,
     PeerLost,
     CellChanged,
