Order states of the store by era and revision

New rule of the users: the store may come back from a copy some seconds old; Store-Era, in all its answers, rises by one each time, and revisions are given out again.

Digests, replies of peers and the shared state carry the era. Instances pass these values on, so that one that starts meanwhile learns them; it trusts a store with eras only after peers had 150 ms to answer.

A store without the header is in era 0 and is read as before.

--- a/packages/hollycart-core/src/hollycart_core/kv/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/kv/__init__.py
@@ -14,6 +14,7 @@
 from hollycart_core.kv._types import Compare
 from hollycart_core.kv._types import KeyValue
 from hollycart_core.kv._types import KeyValueStore
+from hollycart_core.kv._types import Position
 from hollycart_core.kv._types import Put
 from hollycart_core.kv._types import RangeResult
 from hollycart_core.kv._types import TxnResult
@@ -30,6 +31,7 @@
     "KeyValue",
     "KeyValueStore",
     "MemoryStore",
+    "Position",
     "Put",
     "RangeResult",
     "TxnResult",
--- a/packages/hollycart-core/src/hollycart_core/kv/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/kv/_types.py
@@ -5,6 +5,25 @@
 from typing import Protocol
 
 
+class Position(NamedTuple):
+    """Place of a state of the store in the order of all its states.
+
+    A store that is restored from an older copy starts a new era, in which it
+    gives out revisions again. A revision alone orders states of one era only.
+
+    Attributes:
+        era: Number of the era; 0 for a store without eras.
+        revision: Revision of the store.
+
+    Example:
+        >>> Position(1, 900) < Position(2, 870)
+        True
+    """
+
+    era: int
+    revision: int
+
+
 class KeyValue(NamedTuple):
     """A stored pair.
 
@@ -13,19 +32,38 @@
         value: Stored bytes.
         mod_revision: Store revision of the last write of this key.
         create_revision: Store revision of the write that created this key.
+        era: Era of the store in which the pair was read.
     """
 
     key: str
     value: bytes
     mod_revision: int
     create_revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the last write of this key."""
+        return Position(self.era, self.mod_revision)
 
 
 class RangeResult(NamedTuple):
-    """All pairs under a prefix, as of one store revision."""
+    """All pairs under a prefix, as of one store revision.
+
+    Attributes:
+        revision: Store revision.
+        items: The pairs in the order of their keys.
+        era: Era of the store.
+    """
 
     revision: int
     items: tuple[KeyValue, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the state that was read."""
+        return Position(self.era, self.revision)
 
 
 class Compare(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -2,10 +2,6 @@
 
 import collections
 import random
-from typing import Any
-
-from absl import logging
-import eventlet
 
 from hollycart import observe
 from hollycart.gateway import _address_book
@@ -14,6 +10,7 @@
 from hollycart.gateway import _peers
 from hollycart.gateway import _read_times
 from hollycart.gateway import _reader
+from hollycart.gateway import _registration
 from hollycart.gateway import _settings
 from hollycart.gateway import _state
 from hollycart.gateway import _survey
@@ -35,7 +32,6 @@
 _DRAIN_POLL_MS = 50.0
 # Lease of the record by which other instances discover this one.
 _REGISTRATION_LEASE_MS = 30000.0
-_LEASE_RENEWAL_MS = 10000.0
 
 
 class Gateway:
@@ -72,7 +68,6 @@
         self.rng = rng
         self.draining = False
         self._announced = False
-        self._threads: list[Any] = []
         self._build()
 
     def _build(self) -> None:
@@ -126,6 +121,16 @@
             cfg.stall_ms,
             cfg.hold_max_ms,
         )
+        self._registration = _registration.Registration(
+            self.store,
+            self.decoder.encode_peer(
+                cfg.name, _address_book.InstanceAddress(cfg.ip, cfg.zone)
+            ),
+            max(_REGISTRATION_LEASE_MS, cfg.lease_min_ms),
+            clock,
+            self.rng,
+        )
+        self.reader.on_store_restored = self._registration.handle_restored_store
         self._survey = _survey.LoadSurvey(
             self.peers,
             self.platform_state,
@@ -164,7 +169,7 @@
         self.forwarder.start()
         self.front_server.start()
         self.reader.on_change = self._apply_change
-        self._threads = [eventlet.spawn(self._maintain_registration)]
+        self._registration.start()
         self.log.write(
             observe.decisions.Started(self.cfg.zone, self.cfg.front_address)
         )
@@ -198,8 +203,7 @@
         self._ready_server.close()
         self._peer_server.close()
         self._metrics_server.close()
-        for thread in self._threads:
-            thread.kill()
+        self._registration.close()
         self.reader.close()
         self._survey.close()
         self.peers.close()
@@ -303,6 +307,7 @@
         """Returns the gauges of the metrics page by name."""
         now_ms = self.clock.now_ms()
         cfg = self.platform_state.config
+        raw = self.platform_state.raw
         values = {
             "running": float(self.front_server.running),
             "ready": float(self.ready),
@@ -324,6 +329,8 @@
             ),
             "config_version": float(cfg.version if cfg else 0),
             "store_reads": float(self.reader.reads_succeeded),
+            "store_era": float(raw.contents.era if raw else 0),
+            "store_values_retained": float(len(raw.former) if raw else 0),
             "store_reads_failed": float(self.reader.reads_failed),
             "log_lines_dropped": float(self.log.dropped),
         }
@@ -339,31 +346,6 @@
                 )
         return values
 
-    def _maintain_registration(self) -> None:
-        """Keeps this instance registered in the store for its peers."""
-        lease_id = 0
-        while True:
-            try:
-                if not lease_id or not self.store.keep_alive(lease_id):
-                    lease_id = 0
-                    lease_id = self.store.grant_lease(
-                        max(_REGISTRATION_LEASE_MS, self.cfg.lease_min_ms)
-                    )
-                    put = self.decoder.encode_peer(
-                        self.cfg.name,
-                        _address_book.InstanceAddress(
-                            self.cfg.ip, self.cfg.zone
-                        ),
-                    )
-                    self.store.txn((), (put._replace(lease_id=lease_id),))
-            except base.HollycartError as exc:
-                logging.info(
-                    "instance registration not renewed: %s", exc.detail
-                )
-            self.clock.sleep_ms(
-                _LEASE_RENEWAL_MS * (0.8 + 0.4 * self.rng.random())
-            )
-
 
 def _read_schedule(cfg: _settings.GatewaySettings) -> _read_times.ReadSchedule:
     return _read_times.ReadSchedule.for_bound(
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hollycart_core import kv
 from hollycart_core import placement
 
 
@@ -145,6 +146,7 @@
         digest: Digest of the sender's state.
         peers_digest: Digest of the instances that the sender knows to be
             registered.
+        era: Era of the store to which the revisions belong.
     """
 
     sender: str
@@ -154,6 +156,12 @@
     config_revision: int
     digest: int
     peers_digest: int = 0
+    era: int = 0
+
+    @property
+    def position(self) -> kv.Position:
+        """Position of the sender's state."""
+        return kv.Position(self.era, self.revision)
 
 
 class StateChanged(msgspec.Struct, tag="c", array_like=True):
--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from hollycart import observe
+from hollycart.gateway import _history
 from hollycart.gateway import _messages
 from hollycart.gateway import _peers
 from hollycart.gateway import _read_times
@@ -32,6 +33,9 @@
 _FETCH_TIMEOUT_MS = 400.0
 _MAX_STATE_BYTES = 16 << 20
 _MAX_CONCURRENT_READS = 2
+# A restored store may hold keys that were revoked since. An instance that has
+# just started waits so long for peers that know better.
+_PEER_ANSWER_MS = 150.0
 # Leases expire only in store outages longer than this.
 _LEASE_EXPIRY_OUTAGE_MS = 900.0
 
@@ -41,15 +45,23 @@
 
     Attributes:
         age_ms: Time since the state was last confirmed, in ms.
-        contents: All key-value pairs of the store, encoded and compressed.
+        contents: The `_SharedState`, encoded and compressed.
     """
 
     age_ms: float
     contents: bytes
 
 
+class _SharedState(msgspec.Struct, array_like=True):
+    """What an instance knows of the store; fields as in `RawState`."""
+
+    contents: kv.RangeResult
+    former: tuple[_history.FormerValue, ...] = ()
+    era_start: int = 0
+
+
 _REPLY_DECODER = msgspec.msgpack.Decoder(_StateReply)
-_CONTENTS_DECODER = msgspec.msgpack.Decoder(kv.RangeResult)
+_SHARED_STATE_DECODER = msgspec.msgpack.Decoder(_SharedState)
 
 
 class StateReader:
@@ -68,6 +80,7 @@
 
     Attributes:
         on_change: Called after a changed state was applied.
+        on_store_restored: Called when the store has started a new era.
     """
 
     def __init__(
@@ -92,6 +105,7 @@
         self.peer_port = peer_port
         self.schedule = schedule
         self.on_change: Callable[[], None] = lambda: None
+        self.on_store_restored: Callable[[], None] = lambda: None
         self.reads_succeeded = 0
         self.reads_failed = 0
         self._peers: _peers.PeerExchange | None = None
@@ -103,8 +117,12 @@
         self._failing_since_ms: float | None = None
         self._fetch_in_flight = False
         self._last_peers_fetch_ms = float("-inf")
-        self._encoded: tuple[_state.RawState, bytes] | None = None
+        self._encoded: tuple[_history.RawState, bytes] | None = None
         self._was_fresh = True
+        self._history = _history.StoreHistory(decoder)
+        self._started_ms = clock.now_ms()
+        self._heard_peer = False
+        self._unconfirmed_ms: float | None = None
 
     def start(self, peers: _peers.PeerExchange) -> None:
         """Starts polling.
@@ -113,6 +131,7 @@
             peers: Exchange of datagrams with the other instances.
         """
         self._peers = peers
+        self._started_ms = self.clock.now_ms()
         self._thread = eventlet.spawn(self._run)
 
     def close(self) -> None:
@@ -150,6 +169,7 @@
             current.config_revision,
             current.digest,
             self._peers_digest(),
+            current.era,
         )
 
     def _peers_digest(self) -> int:
@@ -166,10 +186,11 @@
         confirmed_ms = message.query_sent_ms - message.age_ms
         current = self.platform_state.snapshot
         if current is not None and message.digest == current.digest:
-            self.platform_state.freshness.confirm(confirmed_ms)
+            self._heard_peer = True
+            self._confirm(confirmed_ms)
             if message.peers_digest != self._peers_digest():
                 self._schedule_peers_fetch(ip)
-        elif current is None or message.revision >= current.revision:
+        elif current is None or message.position >= current.position:
             self._schedule_fetch(ip)
 
     def handle_state_changed(
@@ -187,7 +208,8 @@
             return None
         # All instances of a cell fetch a changed state within a few ms.
         if self._encoded is None or self._encoded[0] is not raw:
-            data = zlib.compress(msgspec.msgpack.encode(raw.contents), 1)
+            shared = _SharedState(raw.contents, raw.former, raw.era_start)
+            data = zlib.compress(msgspec.msgpack.encode(shared), 1)
             self._encoded = (raw, data)
         age_ms = self.platform_state.freshness.age_ms(self.clock.now_ms())
         return msgspec.msgpack.encode(_StateReply(age_ms, self._encoded[1]))
@@ -196,6 +218,8 @@
         while True:
             now_ms = self.clock.now_ms()
             self.platform_state.remove_expired(now_ms)
+            if self._unconfirmed_ms is not None:
+                self._confirm(self._unconfirmed_ms)
             self._log_freshness_change(now_ms)
             due = now_ms - self._last_read_ms >= self.schedule.read_interval_ms
             if due and self._should_read(now_ms):
@@ -281,16 +305,41 @@
         self._failing_since_ms = None
         self._last_success_ms = now_ms
         self.reads_succeeded += 1
-        self._apply_state(
-            _state.make_raw_state(contents, self.decoder.is_registration),
-            started_ms,
-        )
+        self._apply_state(_SharedState(contents), None, started_ms)
+
+    def _confirm(self, confirmed_ms: float) -> None:
+        """Confirms the state, after a start only once peers could answer."""
+        raw = self.platform_state.raw
+        waited_ms = self.clock.now_ms() - self._started_ms
+        if (
+            raw is not None
+            and raw.contents.era
+            and not self._heard_peer
+            and waited_ms < _PEER_ANSWER_MS
+        ):
+            self._unconfirmed_ms = confirmed_ms
+            return
+        self._unconfirmed_ms = None
+        self.platform_state.freshness.confirm(confirmed_ms)
+
+    def _apply_state(
+        self, shared: _SharedState, era_start: int | None, confirmed_ms: float
+    ) -> None:
+        """Applies a read of the store or the state of a peer.
 
-    def _apply_state(self, raw: _state.RawState, confirmed_ms: float) -> None:
+        Args:
+            shared: What was read or received.
+            era_start: Lowest revision that the peer has seen in the era; None
+                for a read of the store.
+            confirmed_ms: Instant at which the state was the newest.
+        """
         assert self._peers is not None
         current = self.platform_state.snapshot
-        if current is not None and raw.contents.revision < current.revision:
+        raw = self._history.update(shared.contents, shared.former, era_start)
+        if raw is None:
             return
+        if current is not None and raw.contents.era != current.era:
+            self._record_new_era(current.era, raw)
         peers_changed = raw.peers_digest != self._peers_digest()
         if (
             current is not None
@@ -299,12 +348,12 @@
         ):
             snapshot = current._replace(revision=raw.contents.revision)
         else:
-            snapshot = self.decoder.decode(raw.contents)
+            snapshot = self.decoder.decode(raw.merge())
             snapshot = snapshot._replace(digest=raw.digest)
         before = self.platform_state.endpoints
         now_ms = self.clock.now_ms()
         changed = self.platform_state.apply(raw, snapshot, now_ms)
-        self.platform_state.freshness.confirm(confirmed_ms)
+        self._confirm(confirmed_ms)
         self._peers.add_addresses(snapshot.peers.values())
         if changed or peers_changed:
             self.on_change()
@@ -312,6 +361,22 @@
             self._log_state(before, snapshot, now_ms)
             self._peers.broadcast_state_changed(raw.digest)
 
+    def _record_new_era(self, former_era: int, raw: _history.RawState) -> None:
+        """Records that the store was restored from an older copy."""
+        now_ms = self.clock.now_ms()
+        # What the copy lacks is written again, as after an outage.
+        self.platform_state.record_outage_end(now_ms)
+        self.on_store_restored()
+        self.log.write(
+            observe.decisions.StoreRestored(
+                former_era,
+                raw.contents.era,
+                raw.contents.revision,
+                tuple(f.item.key for f in raw.former),
+                round(self.platform_state.freshness.age_ms(now_ms), 1),
+            )
+        )
+
     def _log_store_lost(self, exc: base.HollycartError) -> None:
         age_ms = self.platform_state.freshness.age_ms(self.clock.now_ms())
         has_state = self.platform_state.snapshot is not None
@@ -375,7 +440,9 @@
             if head.status != 200:
                 return
             reply = _REPLY_DECODER.decode(body)
-            contents = _CONTENTS_DECODER.decode(zlib.decompress(reply.contents))
+            shared = _SHARED_STATE_DECODER.decode(
+                zlib.decompress(reply.contents)
+            )
         except (base.HollycartError, msgspec.DecodeError, zlib.error) as exc:
             logging.info("fetching the state from peer %s failed: %s", ip, exc)
             self._last_read_ms = float("-inf")  # makes a read due
@@ -384,7 +451,7 @@
             conn.close()
             self._fetch_in_flight = False
         if reply.age_ms <= self.platform_state.freshness.max_age_ms:
+            self._heard_peer = True
             self._apply_state(
-                _state.make_raw_state(contents, self.decoder.is_registration),
-                started_ms - reply.age_ms,
+                shared, shared.era_start, started_ms - reply.age_ms
             )
--- a/packages/hollycart/src/hollycart/gateway/_state.py
+++ b/packages/hollycart/src/hollycart/gateway/_state.py
@@ -1,12 +1,10 @@
 """The platform's state as held by an instance."""
 
-from collections.abc import Callable
 from typing import NamedTuple
 from typing import Protocol
 
-import xxhash
-
 from hollycart.gateway import _address_book
+from hollycart.gateway import _history
 from hollycart_core import kv
 from hollycart_core import placement
 from hollycart_core import routing
@@ -23,6 +21,8 @@
         peers: Addresses of the registered instances by name.
         digest: Hash of the key-value pairs, without the registrations of
             instances; equal digests mean equal state.
+        era: Era of the store at which the state was read.
+        config_era: Era of the store in which the configuration was read.
     """
 
     revision: int
@@ -31,9 +31,16 @@
     endpoints: tuple[placement.Endpoint, ...]
     peers: dict[str, _address_book.InstanceAddress]
     digest: int
+    era: int = 0
+    config_era: int = 0
+
+    @property
+    def position(self) -> kv.Position:
+        """Position of the state in the order of the store's states."""
+        return kv.Position(self.era, self.revision)
 
 
-class StateDecoder(Protocol):
+class StateDecoder(_history.ValueOrder, Protocol):
     """Decodes the contents of the platform's store."""
 
     def decode(self, contents: kv.RangeResult) -> Snapshot:
@@ -43,55 +50,17 @@
             contents: All key-value pairs of the store.
         """
 
-    def is_registration(self, key: str) -> bool:
-        """Returns whether a key is that of an instance's registration."""
-
     def encode_peer(
         self, name: str, address: _address_book.InstanceAddress
     ) -> kv.Put:
         """Returns the record by which other instances discover this one."""
 
 
-class RawState(NamedTuple):
-    """The undecoded state, as instances send it to each other.
-
-    Attributes:
-        contents: All key-value pairs of the store.
-        digest: Hash of the pairs without the registrations of instances.
-        peers_digest: Hash of the registrations.
-    """
-
-    contents: kv.RangeResult
-    digest: int
-    peers_digest: int = 0
-
-
-def make_raw_state(
-    contents: kv.RangeResult, is_registration: Callable[[str], bool]
-) -> RawState:
-    """Returns the state with the hashes of its keys and their revisions.
-
-    Args:
-        contents: All key-value pairs of the store.
-        is_registration: Returns whether a key is that of an instance's
-            registration. Registrations are hashed apart, since instances come
-            and go more often than the state changes that requests depend on.
-
-    Example:
-        >>> first, second = kv.RangeResult(1, ()), kv.RangeResult(2, ())
-        >>> states = [make_raw_state(c, bool) for c in (first, second)]
-        >>> states[0].digest == states[1].digest
-        True
-    """
-    hasher, peers_hasher = xxhash.xxh64(), xxhash.xxh64()
-    for item in contents.items:
-        chosen = peers_hasher if is_registration(item.key) else hasher
-        chosen.update(f"{item.key}={item.mod_revision};".encode())
-    return RawState(contents, hasher.intdigest(), peers_hasher.intdigest())
-
-
 class PlatformState:
-    """The newest state; it never returns to an older revision.
+    """The newest state; it never returns to an older one.
+
+    In a later era of the store, the version of the configuration decides: a
+    restored store may hold an older one until the operator writes it again.
 
     Leases can expire during an outage of the store although their endpoints
     are healthy. Endpoints that are missing after an outage are therefore
@@ -107,7 +76,7 @@
     def __init__(self, max_age_ms: float, reregistration_ms: float) -> None:
         self.reregistration_ms = reregistration_ms
         self.freshness = routing.Freshness(max_age_ms)
-        self.raw: RawState | None = None
+        self.raw: _history.RawState | None = None
         self.snapshot: Snapshot | None = None
         self.endpoints: dict[str, placement.Endpoint] = {}
         self._outage_ended_ms = float("-inf")
@@ -134,7 +103,9 @@
                 del self._retained_until_ms[endpoint_id]
                 self.endpoints.pop(endpoint_id, None)
 
-    def apply(self, raw: RawState, snapshot: Snapshot, now_ms: float) -> bool:
+    def apply(
+        self, raw: _history.RawState, snapshot: Snapshot, now_ms: float
+    ) -> bool:
         """Applies a snapshot unless it is older than the current one.
 
         Returns:
@@ -142,19 +113,22 @@
         """
         current = self.snapshot
         if current is not None:
-            if snapshot.revision < current.revision:
+            if snapshot.position < current.position:
                 return False
             if snapshot.digest == current.digest:
                 self.raw = raw
                 self.snapshot = current._replace(
-                    revision=snapshot.revision, peers=snapshot.peers
+                    revision=snapshot.revision,
+                    era=snapshot.era,
+                    peers=snapshot.peers,
                 )
                 self._update_endpoints(snapshot, now_ms)
                 return False
-            if snapshot.config_revision < current.config_revision:
+            if not _is_config_in_order(current, snapshot):
                 snapshot = snapshot._replace(
                     config=current.config,
                     config_revision=current.config_revision,
+                    config_era=current.config_era,
                 )
         self.raw = raw
         self.snapshot = snapshot
@@ -171,3 +145,12 @@
             }
         self._retained_until_ms = dict.fromkeys(retained, until_ms)
         self.endpoints = {**listed, **retained}
+
+
+def _is_config_in_order(current: Snapshot, new: Snapshot) -> bool:
+    """Returns whether the configuration of `new` may replace that in force."""
+    if current.config is None or new.config is None:
+        return current.config is None
+    if new.config_era == current.config_era:
+        return new.config_revision >= current.config_revision
+    return new.config.version >= current.config.version
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -9,6 +9,7 @@
 from hollycart import gateway
 from hollycart import observe
 from hollycart.gateway import _forwarder
+from hollycart.gateway import _history
 from hollycart.gateway import _peers
 from hollycart.gateway import _state
 from hollycart_core import base
@@ -341,7 +342,7 @@
             {},
             self.revision,
         )
-        raw = _state.RawState(kv.RangeResult(self.revision, ()), 0)
+        raw = _history.RawState(kv.RangeResult(self.revision, ()), 0)
         now_ms = self.clock.now_ms()
         self.platform_state.apply(raw, snapshot, now_ms)
         if confirmed:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -12,6 +12,7 @@
 from hollycart.gateway import _chooser
 from hollycart.gateway import _delegate
 from hollycart.gateway import _delegator
+from hollycart.gateway import _history
 from hollycart.gateway import _messages
 from hollycart.gateway import _peers
 from hollycart.gateway import _state
@@ -141,7 +142,7 @@
         snapshot = gateway.Snapshot(
             1, 1, cfg, tuple(self.endpoints), addresses, 1
         )
-        raw = _state.RawState(kv.RangeResult(1, ()), 1)
+        raw = _history.RawState(kv.RangeResult(1, ()), 1)
         # Each zone is a cell; so few instances would be one cell otherwise.
         cells = tuple(frozenset(zone) for zone in zones)
         for instance in self.instances:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -5,6 +5,7 @@
 
 from hollycart import gateway
 from hollycart import observe
+from hollycart.gateway import _history
 from hollycart.gateway import _messages
 from hollycart.gateway import _read_times
 from hollycart.gateway import _reader
@@ -34,6 +35,9 @@
     def is_registration(self, key):
         return key.startswith("instance-")
 
+    def precedence(self, item):
+        return 0
+
     def decode(self, contents):
         endpoints = tuple(
             placement.Endpoint(i.key, "1:1", "s", "z", 1)
@@ -46,7 +50,9 @@
             if self.is_registration(i.key)
         }
         cfg = routing.RoutingConfig(1, [], [])
-        return gateway.Snapshot(contents.revision, 1, cfg, endpoints, peers, 0)
+        return gateway.Snapshot(
+            contents.revision, 1, cfg, endpoints, peers, 0, contents.era
+        )
 
 
 class Peers:
@@ -206,8 +212,10 @@
     clock.sleep_ms(40)
     reply = _reader._REPLY_DECODER.decode(reader.encode_state())
     assert reply.age_ms == 40
-    contents = _reader._CONTENTS_DECODER.decode(zlib.decompress(reply.contents))
-    assert contents == store.contents
+    shared = _reader._SHARED_STATE_DECODER.decode(
+        zlib.decompress(reply.contents)
+    )
+    assert shared.contents == store.contents
 
 
 def test_changed_staleness_bound_applies_to_replies(
@@ -230,3 +238,91 @@
         < schedule.direct_read_age_ms
     )
     assert schedule.direct_read_age_ms < schedule.reader_timeout_ms < bound_ms
+
+
+def era(number, revision, *names):
+    return kv.RangeResult(
+        revision, tuple(i._replace(era=number) for i in items(*names)), number
+    )
+
+
+def test_answer_of_an_earlier_era_neither_changes_nor_confirms_the_state(
+    reader, store, platform_state, clock
+):
+    store.contents = era(1, 50, "a", "b")
+    reader._read()
+    clock.sleep_ms(200)
+    store.contents = era(2, 40, "a")
+    reader._read()
+    clock.sleep_ms(1000)
+    store.contents = era(1, 60, "b")
+    reader._read()
+    assert platform_state.snapshot.position == kv.Position(2, 40)
+    assert platform_state.freshness.age_ms(clock.now_ms()) == 1000
+
+
+def test_endpoints_that_the_restored_store_lacks_are_retained_for_a_time(
+    reader, store, platform_state, clock
+):
+    store.contents = era(1, 50, "a", "b")
+    reader._read()
+    store.contents = era(2, 40, "a")
+    reader._read()
+    assert set(platform_state.endpoints) == {"a", "b"}
+    clock.sleep_ms(2000)
+    platform_state.remove_expired(clock.now_ms())
+    assert set(platform_state.endpoints) == {"a"}
+
+
+def test_instance_that_learns_of_the_new_era_from_a_peer_registers_again(
+    reader, store, platform_state, clock
+):
+    restored = []
+    reader.on_store_restored = lambda: restored.append(clock.now_ms())
+    store.contents = era(1, 50, "a")
+    reader._read()
+    shared = _reader._SharedState(era(2, 40, "a"), (), 40)
+    reader._apply_state(shared, 40, clock.now_ms())
+    reader._apply_state(shared, 40, clock.now_ms())
+    assert len(restored) == 1
+
+
+def test_peer_in_an_earlier_era_is_not_asked_for_its_state(
+    reader, store, monkeypatch, clock
+):
+    fetched = []
+    monkeypatch.setattr(reader, "_schedule_fetch", fetched.append)
+    store.contents = era(2, 40, "a")
+    reader._read()
+    reply = _messages.FreshnessReply("p", clock.now_ms(), 0.0, 90, 1, 7, 0, 1)
+    reader.handle_reply(reply, "ip")
+    assert not fetched
+    reply.era = 2
+    reader.handle_reply(reply, "ip")
+    assert fetched == ["ip"]
+
+
+def test_new_instance_waits_for_peers_before_it_trusts_a_store_with_eras(
+    reader, store, platform_state, clock
+):
+    """The store may hold keys that were revoked before it was restored."""
+    store.contents = era(2, 40, "a")
+    reader._read()
+    assert not platform_state.freshness.is_fresh(clock.now_ms())
+    peer = _history.StoreHistory(Decoder())
+    peer.update(era(1, 90, "a"))
+    raw = peer.update(era(2, 40, "a"))
+    shared = _reader._SharedState(raw.contents, raw.former, raw.era_start)
+    reader._heard_peer = True
+    reader._apply_state(shared, raw.era_start, clock.now_ms())
+    assert platform_state.freshness.is_fresh(clock.now_ms())
+
+
+def test_new_instance_without_peers_trusts_the_store_after_a_time(
+    reader, store, platform_state, clock
+):
+    store.contents = era(2, 40, "a")
+    reader._read()
+    clock.sleep_ms(_reader._PEER_ANSWER_MS)
+    reader._confirm(reader._unconfirmed_ms)
+    assert platform_state.freshness.is_fresh(clock.now_ms())
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -321,6 +321,25 @@
     outage_ms: float
 
 
+class StoreRestored(Decision, tag="store_restored"):
+    """The key-value store came back from an older copy.
+
+    Attributes:
+        former_era: Era of the store until then.
+        era: Era of the store now.
+        revision: Revision of the store now.
+        retained: Keys whose former values stay in force until they are written
+            again.
+        age_ms: Age of the state.
+    """
+
+    former_era: int
+    era: int
+    revision: int
+    retained: tuple[str, ...]
+    age_ms: float
+
+
 class FreshnessLost(Decision, tag="freshness_lost"):
     """The state became stale, so that no API keys are accepted."""
 
@@ -423,6 +442,7 @@
     LoadSurveyed,
     StoreLost,
     StoreRegained,
+    StoreRestored,
     FreshnessLost,
     FreshnessRegained,
     Started,
