Play restored stores, leaving engines and pauses in the soak

Two more guarantees are checked for each instance and engine. Kills, freezes, reloads and cuts of instances now overlap with the other faults.

--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -30,9 +30,14 @@
     Attributes:
         closes_inside_event: Whether streams end inside an event, by an orderly
             close and without a declared length.
+        says_leaving: Whether its responses state that it is leaving.
+        pause_s: Pause that it asks for with each rejection of all requests, in
+            s; 0 accepts them.
     """
 
     closes_inside_event: bool = False
+    says_leaving: bool = False
+    pause_s: float = 0.0
 
 
 class _Reservation(NamedTuple):
@@ -104,10 +109,13 @@
             self._handle_reservation(exchange, req)
             return
         wrong_incarnation = req.endpoint_id not in ("", self.engine_id)
-        if wrong_incarnation or self._waiting >= _MAX_QUEUED:
+        pause_s = 0.0 if wrong_incarnation else self.faults.pause_s
+        if wrong_incarnation or pause_s or self._waiting >= _MAX_QUEUED:
             status, fields = self.engine_codec.encode_rejection(
-                req, wrong_incarnation
+                req, wrong_incarnation, pause_s
             )
+            if pause_s:
+                self._write_journal("pause", req)
             exchange.respond(status, fields, b"")
             return
         self._waiting += 1
@@ -126,12 +134,16 @@
         req: hollycart_standins.EngineRequest,
     ) -> None:
         self._write_journal("run", req)
+        if self.faults.says_leaving:
+            self._write_journal("leaving", req)
         try:
             if req.prompt_tokens and self.parameters is not None:
                 self._stream(exchange, req, self.parameters)
             else:
                 self.clock.sleep_ms(_PLAIN_SERVICE_TIME_MS)
-                fields = self.engine_codec.encode_success(req, False)
+                fields = self.engine_codec.encode_success(
+                    req, False, self.faults.says_leaving
+                )
                 exchange.respond(200, fields, response_body(req.request_id))
         except connections.CallerGoneError:
             self._write_journal("gone", req)
@@ -154,7 +166,10 @@
         response: connections.Exchange | _unframed.UnframedResponse = exchange
         if closes_inside_event or last_number % _UNFRAMED_INTERVAL == 0:
             response = _unframed.UnframedResponse(exchange)
-        response.start(200, self.engine_codec.encode_success(req, True), None)
+        fields = self.engine_codec.encode_success(
+            req, True, self.faults.says_leaving
+        )
+        response.start(200, fields, None)
         for number in range(req.resume_after + 1, last_number + 1):
             self.clock.sleep_ms(model.decode_step_ms(1, req.prompt_tokens))
             event = self.engine_codec.encode_event(
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -8,6 +8,7 @@
 
 from hollycart_bench import fleet
 from hollycart_bench.soak import _configuration
+from hollycart_bench.soak import _engine
 from hollycart_bench.soak import _record
 from hollycart_bench.soak import _system
 from hollycart_core import base
@@ -22,10 +23,13 @@
 _EXIT_TIMEOUT_S = 12.0
 _OBSERVE_S = 4.0  # after the acknowledgement of a change
 _FAULT_INTERVAL_S = 1.5
+_RESTORE_S = 1.0  # for which the store is away before it comes back older
+# Faults of instances that overlap with all other ones.
+_OVERLAPPING = frozenset(("kill", "freeze", "reload", "store_cut"))
 
 
 class FaultInjector:
-    """Injects each kind of fault once, one at a time, in random order.
+    """Injects each kind of fault once, in random order.
 
     Args:
         system: System that the faults are injected into.
@@ -63,6 +67,9 @@
             "engine_reset": self._engine_reset,
             "engine_slow": self._engine_slow,
             "engine_closes_inside_event": self._engine_closes_inside_event,
+            "engine_says_leaving": self._engine_says_leaving,
+            "engine_pauses": self._engine_pauses,
+            "store_restored": self._store_restored,
             "engine_leaves": self._engine_leaves,
             "engine_vanishes": self._engine_vanishes,
             "store_down": lambda: self._store_down(_STORE_OUTAGE_S),
@@ -75,10 +82,24 @@
         }
 
     def run(self) -> None:
-        """Injects each kind of fault once."""
-        kinds = list(self.kinds().items())
-        self.rng.shuffle(kinds)
-        for kind, inject in kinds:
+        """Injects each kind of fault once, those of instances beside others."""
+        kinds = self.kinds()
+        lanes = (
+            [k for k in kinds if k in _OVERLAPPING],
+            [k for k in kinds if k not in _OVERLAPPING],
+        )
+        threads = []
+        for lane in lanes:
+            self.rng.shuffle(lane)
+            threads.append(eventlet.spawn(self._run_lane, lane, kinds))
+        for thread in threads:
+            thread.wait()
+
+    def _run_lane(
+        self, names: list[str], kinds: dict[str, Callable[[], str]]
+    ) -> None:
+        for kind in names:
+            inject = kinds[kind]
             eventlet.sleep(_FAULT_INTERVAL_S)
             start_ms = self.clock.wall_ms()
             target = inject()
@@ -171,11 +192,56 @@
 
     def _engine_closes_inside_event(self) -> str:
         engine = self._choose_model_engine()
-        self.system.set_engine_faults(engine, closes_inside_event=True)
-        eventlet.sleep(_PROXY_FAULT_S)
-        self.system.set_engine_faults(engine)
+        faults = _engine.EngineFaults(closes_inside_event=True)
+        self._simulate(engine, faults, _PROXY_FAULT_S)
+        return engine
+
+    def _engine_says_leaving(self) -> str:
+        """Lets an engine say that it leaves, while the store lists it."""
+        engine = self._choose_engine()
+        faults = _engine.EngineFaults(says_leaving=True)
+        self._simulate(engine, faults, _OBSERVE_S)
+        self.system.engines[engine].kill()
+        self.system.remove_endpoint(engine)
+        self.system.start_engine(engine)
         return engine
 
+    def _engine_pauses(self) -> str:
+        engine = self._choose_engine()
+        faults = _engine.EngineFaults(pause_s=_record.PAUSE_S)
+        self._simulate(engine, faults, 2.0 * _record.PAUSE_S)
+        return engine
+
+    def _simulate(
+        self, engine: str, faults: _engine.EngineFaults, seconds: float
+    ) -> None:
+        self.system.set_engine_faults(engine, faults)
+        eventlet.sleep(seconds)
+        self.system.set_engine_faults(engine, _engine.EngineFaults())
+
+    def _store_restored(self) -> str:
+        """Restores the store to a copy that lacks the last changes.
+
+        A key was revoked and an engine had left. An instance starts while the
+        store holds the copy, before the operator writes the changes again.
+        """
+        engine = self._choose_engine()
+        left_ms = self.system.remove_endpoint(engine)
+        self.record.leaving.append((engine, left_ms))
+        self._revoke_key()
+        eventlet.sleep(_OBSERVE_S)
+        self.system.set_store_faults(down=True)
+        eventlet.sleep(_RESTORE_S)
+        self.system.restore_store((_OBSERVE_S + 2.0 * _RESTORE_S) * 1000.0)
+        self.system.set_store_faults()
+        name = self._kill()
+        eventlet.sleep(_REVOCATION_OUTAGE_S)
+        self.system.put_config()
+        self.system.engines[engine].kill()
+        self.system.remove_endpoint(engine)
+        self.system.start_engine(engine)
+        return name
+
     def _engine_leaves(self) -> str:
         engine = self._choose_engine()
         acked_ms = self.system.put_endpoint(engine, True)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -10,6 +10,8 @@
 _REVOKED_BOUND_MS = 5000.0  # until no request starts with a revoked key
 _CONFIG_BOUND_MS = 2000.0  # until a new configuration is in force
 _RESPONSE_BOUND_MS = 500.0  # from the caller's timeout to the response
+_PAUSE_GRACE_MS = 500.0  # until a pause that an engine asks for is kept
+_MAX_IN_PAUSE = 2  # requests of an instance that reach a pausing engine
 _ABANDONED_BOUND_MS = 500.0  # until the work for an abandoned request ends
 # Tolerance for clock readings of two processes and for a busy machine.
 _TOLERANCE_MS = 250.0
@@ -25,6 +27,8 @@
         "at most once",
         "in time",
         "leaving gets nothing",
+        "leaving by its word gets nothing",
+        "a pause is kept",
         "memory comes back",
         "refusals say when",
         "refused is not run",
@@ -83,6 +87,7 @@
         _check_moved_routes(record, checkers["a new configuration is in force"])
     if any(c.abandoned and _is_fault_free(c, record) for c in record.calls):
         _check_abandoned_calls(record, checkers["work ends with its caller"])
+    _check_notices(record, checkers)
     for name, code in record.exits:
         checkers["stopped in time"].check(code == 0, f"{name} exit {code}")
     for name, count in record.held.items():
@@ -156,6 +161,53 @@
         checker.check(not late, f"{engine} got work {late} ms on")
 
 
+def _check_notices(record: _record.SoakRecord, checkers: _Checkers) -> None:
+    """Checks what engines ask of the instances that got their responses.
+
+    An instance that was killed or frozen since then is excused.
+    """
+    calls = {c.request_id: c for c in record.calls}
+    arrivals = collections.defaultdict(list)
+    for entry in record.journal_entries:
+        call = calls.get(entry.request_id)
+        if call is not None and entry.event in ("run", "leaving", "pause"):
+            arrivals[entry.engine, call.instance].append((entry, call))
+    for (engine, instance), entries in arrivals.items():
+        lost_ms = [
+            f.start_ms
+            for f in record.faults
+            if f.target == instance and f.kind in _CONNECTION_LOSS_FAULTS
+        ]
+        told_ms = min(
+            (e.at_ms for e, _ in entries if e.event == "leaving"), default=None
+        )
+        if told_ms is not None and not any(t > told_ms for t in lost_ms):
+            bound_ms = told_ms + _LEAVING_BOUND_MS + _TOLERANCE_MS
+            late = [
+                c.request_id
+                for e, c in entries
+                if e.event == "run" and c.start_ms > bound_ms
+            ]
+            checkers["leaving by its word gets nothing"].check(
+                not late, f"{engine} got {late[:_MAX_SHOWN]} from {instance}"
+            )
+        for pause, _ in entries:
+            if pause.event != "pause" or any(
+                t > pause.at_ms - _TOLERANCE_MS for t in lost_ms
+            ):
+                continue
+            begin_ms = pause.at_ms + _PAUSE_GRACE_MS + _TOLERANCE_MS
+            end_ms = pause.at_ms + _record.PAUSE_S * 1000.0 - _TOLERANCE_MS
+            reached = sum(
+                e.event in ("run", "pause") and begin_ms < e.at_ms < end_ms
+                for e, _ in entries
+            )
+            checkers["a pause is kept"].check(
+                reached <= _MAX_IN_PAUSE,
+                f"{engine} got {reached} requests from {instance}",
+            )
+
+
 def _check_revoked_keys(
     record: _record.SoakRecord, checker: checks.GuaranteeChecker
 ) -> None:
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
@@ -46,7 +46,9 @@
     Attributes:
         at_ms: Wall-clock time, in ms.
         engine: Id of the engine.
-        event: `run` (started), `end` (finished) or `gone` (the caller left).
+        event: `run` (started), `end` (finished), `gone` (the caller left),
+            `leaving` (started, and the response states that the engine is
+            leaving) or `pause` (rejected, with a pause of `PAUSE_S`).
         request_id: Id that the caller gave to the attempt.
         team: Team that the request is billed to.
     """
@@ -58,6 +60,9 @@
     team: str
 
 
+PAUSE_S = 2.0  # that engines ask for
+
+
 class Fault(NamedTuple):
     """One injected fault.
 
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -157,11 +157,14 @@
         body = msgspec.json.encode({"down": down, "delay_ms": delay_ms})
         self._send("/control/faults", body)
 
+    def restore_store(self, age_ms: float) -> None:
+        """Sets the store back to a copy of an age, in ms."""
+        self._send("/control/restore", msgspec.json.encode({"age_ms": age_ms}))
+
     def set_engine_faults(
-        self, engine_id: str, closes_inside_event: bool = False
+        self, engine_id: str, faults: _engine.EngineFaults
     ) -> None:
         """Sets the faults of one engine, around its proxy."""
-        faults = _engine.EngineFaults(closes_inside_event)
         address = self._targets[engine_id.partition("-")[0]]
         self._client.send(
             "POST",
--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -151,4 +151,27 @@
     record.moved_services.append(("e9", 0.0))
     record.exits.append(("n0", 0))
     record.held["e-0"] = 0
+    for event in ("leaving", "pause"):
+        record.journal_entries.append(RUN._replace(event=event))
     assert set(soak.check_guarantees(record)) == set(soak.GUARANTEES)
+
+
+def test_work_for_an_engine_that_said_it_leaves(record):
+    told = soak.JournalEntry(5000.0, "e-0", "leaving", "q", "t")
+    record.calls.append(CALL._replace(request_id="q", start_ms=4990.0))
+    record.journal_entries.append(told)
+    assert "leaving by its word gets nothing" in violated(record)
+    record.faults.append(soak.Fault("kill", "n0", 6000.0, 7000.0))
+    assert "leaving by its word gets nothing" not in violated(record)
+
+
+def test_requests_in_a_pause(record):
+    for number, at_ms in enumerate((5000.0, 6000.0, 6100.0, 6200.0)):
+        name = f"q{number}"
+        record.calls.append(CALL._replace(request_id=name, start_ms=at_ms))
+        record.journal_entries.append(
+            soak.JournalEntry(at_ms, "e-0", "pause", name, "t")
+        )
+    assert "a pause is kept" in violated(record)
+    record.journal_entries.pop()
+    assert "a pause is kept" not in violated(record)
--- a/packages/hollycart-core/src/hollycart_core/kv/_memory.py
+++ b/packages/hollycart-core/src/hollycart_core/kv/_memory.py
@@ -112,6 +112,20 @@
             if key.startswith(prefix)
         )
 
+    def copy(self) -> "MemoryStore":
+        """Returns an independent copy, without the leases.
+
+        Keys that were written under a lease are not in the copy.
+        """
+        made = MemoryStore(self.clock)
+        made.revision = self.revision
+        made._pairs = {
+            key: pair
+            for key, pair in self._pairs.items()
+            if key not in self._lease_id_by_key
+        }
+        return made
+
     def _write(self, put: _types.Put) -> None:
         old = self._pairs.get(put.key)
         created = old.create_revision if old else self.revision
