Forget the health of an endpoint that started again under its id

The field born of an engine's entry was decoded nowhere, so an engine that came back under its id kept its ejections and its slowness. All that was known of the former incarnation is void by the platform's protocol.

--- a/packages/hollycart-core/src/hollycart_core/placement/_health.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_health.py
@@ -1,7 +1,10 @@
 """Health of endpoints, from the outcomes of requests."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
+from hollycart_core.placement import _types
+
 _BASE_EJECTION_MS = 400.0  # longer than the retransmission of a lost packet
 _MAX_EJECTION_MS = 4000.0  # bounds how long a recovered endpoint is unused
 _FAILURE_EWMA_WEIGHT = 0.25  # of the newest outcome
@@ -38,6 +41,7 @@
 
     def __init__(self) -> None:
         self._states: dict[str, _State] = {}
+        self._born_ms: dict[str, int] = {}
 
     def record_success(self, endpoint: str) -> None:
         """Records a complete response, which ends an ejection."""
@@ -138,6 +142,18 @@
         """Removes the record of an endpoint."""
         self._states.pop(endpoint, None)
 
+    def follow_incarnations(self, endpoints: Iterable[_types.Endpoint]) -> None:
+        """Removes the records of endpoints that started again.
+
+        Args:
+            endpoints: All listed endpoints.
+        """
+        born_ms = {e.id: e.born_ms for e in endpoints}
+        for endpoint_id, started_ms in born_ms.items():
+            if self._born_ms.get(endpoint_id, started_ms) < started_ms:
+                self.remove(endpoint_id)
+        self._born_ms = born_ms
+
     def _eject(self, state: _State, now_ms: float) -> _State:
         ejection_ms = min(
             _MAX_EJECTION_MS, _BASE_EJECTION_MS * 2.0**state.ejections
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -253,6 +253,9 @@
     def _apply_change(self) -> None:
         self._apply_limits()
         self._apply_cells()
+        self.forwarder.health.follow_incarnations(
+            self.platform_state.endpoints.values()
+        )
         if not self._announced and self.platform_state.endpoints:
             # Peers reply to the first heartbeat with theirs.
             self._announced = True
