--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -246,6 +246,23 @@
     )
 
 
+def test_former_values_are_part_of_the_encoded_state(reader, store):
+    store.contents = era(1, 50, "a")
+    reader._read()
+    newer = era(1, 60, "a")
+    item = newer.items[0]._replace(mod_revision=55)
+    store.contents = newer._replace(items=(item,))
+    reader._read()
+    store.contents = era(2, 40, "a")
+    reader._read()
+    reply = _reader._REPLY_DECODER.decode(reader.encode_state())
+    shared = _reader._SHARED_STATE_DECODER.decode(
+        zlib.decompress(reply.contents)
+    )
+    assert shared.former == (_history.FormerValue(item, False),)
+    assert (shared.contents.era, shared.era_start) == (2, 40)
+
+
 def test_answer_of_an_earlier_era_neither_changes_nor_confirms_the_state(
     reader, store, platform_state, clock
 ):
