--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -198,7 +198,7 @@
 
     def _engine_says_leaving(self) -> str:
         """Lets an engine say that it leaves, while the store lists it."""
-        engine = self._choose_engine()
+        engine = self._choose_model_engine()
         faults = _engine.EngineFaults(says_leaving=True)
         self._simulate(engine, faults, _OBSERVE_S)
         self.system.engines[engine].kill()
@@ -207,7 +207,7 @@
         return engine
 
     def _engine_pauses(self) -> str:
-        engine = self._choose_engine()
+        engine = self._choose_model_engine()
         faults = _engine.EngineFaults(pause_s=_record.PAUSE_S)
         self._simulate(engine, faults, 2.0 * _record.PAUSE_S)
         return engine
