Confirm the end of an answer that only its connection declares

A process that has crashed no longer accepts connections, so the end of such an answer counts only if its endpoint still responds: engines are asked for their load, other endpoints for a connection. If it refuses, the attempt fails with stream_truncated, which resumes a stream and turns a plain answer into 502. Silence discards nothing: the close has arrived, so the endpoint had not crashed. A framed answer costs nothing.

--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -4,6 +4,7 @@
 from hollycart.gateway import _codec
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
+from hollycart.gateway import _liveness
 from hollycart.gateway import _monitor
 from hollycart.gateway import _notices
 from hollycart.gateway import _waiting
@@ -39,6 +40,7 @@
     Args:
         codec: Translates the platform's messages.
         notices: Records what endpoints ask for in their responses.
+        liveness: Confirms responses without a declared end.
         monitor: Probes endpoints that are late.
         dependencies: Aborts the attempt if one of its endpoints becomes
             unreachable.
@@ -52,6 +54,7 @@
         self,
         codec: _codec.RequestCodec,
         notices: _notices.EndpointNotices,
+        liveness: _liveness.EndpointLiveness,
         monitor: _monitor.EndpointMonitor,
         dependencies: _waiting.AttemptDependencies,
         log: observe.DecisionLog,
@@ -60,6 +63,7 @@
     ) -> None:
         self.codec = codec
         self.notices = notices
+        self.liveness = liveness
         self.monitor = monitor
         self.dependencies = dependencies
         self.log = log
@@ -115,6 +119,7 @@
             return
         remaining_ms = request.deadline_ms - self.clock.now_ms()
         body = conn.read_body(remaining_ms, _MAX_BODY_BYTES)
+        self._confirm_end(request, chosen, head)
         if not success and self._should_retry(request, progress, head):
             raise base.EndpointFailedError(
                 f"{chosen.endpoint.id} answered {head.status}"
@@ -270,12 +275,23 @@
                 self._start_response(request, progress, head)
                 request.exchange.write(complete)
         trailing = events.finish(head.framing)
+        self._confirm_end(request, chosen, head)
         self._start_response(request, progress, head)
         progress.trailing_bytes = len(trailing)
         if trailing:
             request.exchange.write(trailing)
         request.exchange.finish()
 
+    def _confirm_end(
+        self,
+        request: _job.AdmittedRequest,
+        chosen: placement.Placement,
+        head: connections.ResponseHead,
+    ) -> None:
+        self.liveness.confirm_end(
+            chosen.endpoint, head.framing, request.service.engine is not None
+        )
+
     def _read_data(
         self,
         request: _job.AdmittedRequest,
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -15,6 +15,7 @@
 from hollycart.gateway import _delegator
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
+from hollycart.gateway import _liveness
 from hollycart.gateway import _messages
 from hollycart.gateway import _monitor
 from hollycart.gateway import _notices
@@ -138,6 +139,7 @@
         self._attempt_relay = _attempt.AttemptRelay(
             codec,
             self.notices,
+            _liveness.EndpointLiveness(codec, self.notices, clock),
             self.monitor,
             self.dependencies,
             log,
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/_liveness.py
@@ -0,0 +1,78 @@
+"""Checks that an endpoint has outlived its response."""
+
+from absl import logging
+
+from hollycart.gateway import _codec
+from hollycart.gateway import _failures
+from hollycart.gateway import _notices
+from hollycart_core import base
+from hollycart_core import connections
+from hollycart_core import placement
+
+_TIMEOUT_MS = 300.0  # a process that has ended refuses much sooner
+
+
+class EndpointLiveness:
+    """Confirms responses whose end only the end of the connection declares.
+
+    The connections of a process that crashed are closed in an orderly way, also
+    between two events. The end of such a response counts only if its endpoint
+    still responds.
+
+    Args:
+        codec: Translates the platform's messages.
+        notices: Records what endpoints ask for in their responses.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        codec: _codec.RequestCodec,
+        notices: _notices.EndpointNotices,
+        clock: base.Clock,
+    ) -> None:
+        self.codec = codec
+        self.notices = notices
+        self.clock = clock
+
+    def confirm_end(
+        self,
+        endpoint: placement.Endpoint,
+        framing: connections.Framing,
+        reports_load: bool,
+    ) -> None:
+        """Confirms the end of a response.
+
+        Args:
+            endpoint: The endpoint that sent it.
+            framing: How the end was declared.
+            reports_load: Whether the endpoint answers queries for its load;
+                otherwise it only has to accept a connection.
+
+        Raises:
+            TruncatedStreamError: If the connection declared the end and the
+                endpoint refuses or resets another one. An endpoint that is
+                silent has not crashed: its close has arrived.
+        """
+        if framing is not connections.Framing.CONNECTION:
+            return
+        conn = connections.ClientConnection(endpoint.address, self.clock)
+        try:
+            conn.start(_TIMEOUT_MS)
+            if reports_load:
+                conn.send(self.codec.encode_load_query(), b"", _TIMEOUT_MS)
+                self.notices.record(endpoint, conn.read_head(_TIMEOUT_MS))
+        except _failures.EndpointLostError:
+            raise
+        except base.SilentEndpointError:
+            logging.info("liveness of %s is unknown: no answer", endpoint.id)
+        except base.EndpointFailedError as exc:
+            if isinstance(exc.__cause__, TimeoutError):
+                logging.info("liveness of %s is unknown: %s", endpoint.id, exc)
+                return
+            raise _failures.TruncatedStreamError(
+                f"{endpoint.id} closed the connection and no longer responds: "
+                f"{exc.detail}"
+            ) from exc
+        finally:
+            conn.close()
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -167,9 +167,15 @@
 
         @staticmethod
         def unframed(body, end="close"):
-            """Sends `body` without a length or chunks, then ends like `end`."""
+            """Sends `body` without a length or chunks, then ends like `end`.
+
+            The endpoint also answers queries for its load.
+            """
 
             def handler(exchange, fields):
+                if exchange.head.target == b"/load":
+                    exchange.respond(200, (), b"[0, 0]")
+                    return
                 head = b"".join(b"%s: %s\r\n" % field for field in seal(fields))
                 sock = exchange._connection._sock
                 sock.sendall(b"HTTP/1.1 200 OK\r\n%s\r\n%s" % (head, body))
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -187,6 +187,72 @@
         conn.read_body(1000, 1 << 20)
 
 
+def closing_and_gone(endpoint, body):
+    """Returns a handler whose endpoint ends with its response."""
+
+    def handler(exchange, fields):
+        sock = exchange.detach()
+        head = b"".join(b"%s: %s\r\n" % field for field in seal(fields))
+        sock.sendall(b"HTTP/1.1 200 OK\r\n%s\r\n%s" % (head, body))
+        endpoint.server._listener.close()
+        sock.close()
+
+    return handler
+
+
+def test_stream_closed_between_events_by_a_crash_is_resumed(
+    system, endpoints, answers
+):
+    system.apply_state()
+    cut = b"id: 1\ndata: 1\n\n"
+    whole = answers.events(1, 3)
+    for endpoint, other in (endpoints, endpoints[::-1]):
+
+        def handler(exchange, fields, endpoint=endpoint, other=other):
+            other.handler = whole
+            closing_and_gone(endpoint, cut)(exchange, fields)
+
+        endpoint.handler = handler
+    response = system.call("/stream/", tokens=5000)
+    events = response.body.decode().strip().split("\n\n")
+    assert events == [f"id: {i}\ndata: {i}" for i in range(1, 4)]
+
+
+def test_plain_answer_closed_by_a_crash_is_not_a_success(system, endpoints):
+    system.apply_state()
+    for endpoint in endpoints:
+        endpoint.handler = closing_and_gone(endpoint, b"ha")
+    assert system.call("/once/").status == 502
+
+
+@pytest.mark.parametrize("path", ["/once/", "/stream/"])
+def test_answer_without_length_of_a_running_endpoint_is_complete(
+    system, endpoints, answers, path
+):
+    system.apply_state()
+    body = b"id: 1\ndata: 1\n\n"
+    script(endpoints, answers.unframed(body))
+    response = system.call(path, tokens=100 if path == "/stream/" else 0)
+    assert (response.status, response.body) == (200, body)
+
+
+def test_silence_of_an_endpoint_does_not_discard_its_answer(
+    system, endpoints, answers
+):
+    """The close has arrived, so the endpoint had not crashed."""
+    system.apply_state()
+    body = b"id: 1\ndata: 1\n\n"
+
+    def handler(exchange, fields):
+        if exchange.head.target == b"/load":
+            eventlet.sleep(1.0)
+        else:
+            answers.unframed(body)(exchange, fields)
+
+    script(endpoints, handler)
+    assert system.call("/stream/", tokens=100).body == body
+
+
 def test_reset_stream_without_length_or_chunks_is_resumed(
     system, endpoints, answers
 ):
