--- a/packages/hollycart-bench/src/hollycart_bench/ports.py
+++ b/packages/hollycart-bench/src/hollycart_bench/ports.py
@@ -9,12 +9,18 @@
 _FIRST_PORT = 10_000
 _END_PORT = 32_000  # exclusive
 
-_allocated_ports: set[int] = set()
+# A port is reserved by a UDP socket of the same number on another address,
+# which the searches of other processes find taken.
+_RESERVATION_HOST = "127.0.0.2"
+
+_reservations: dict[int, socket.socket] = {}
 
 
 def find_free_port() -> int:
     """Returns a TCP port that is free now and was not returned before.
 
+    It is reserved until this process ends.
+
     Example:
         >>> find_free_port() != find_free_port()
         True
@@ -22,11 +28,21 @@
     rng = random.SystemRandom()
     while True:
         port = rng.randrange(_FIRST_PORT, _END_PORT)
-        if port not in _allocated_ports and _can_bind(port):
-            _allocated_ports.add(port)
+        if port not in _reservations and _can_bind(port) and _reserve(port):
             return port
 
 
+def _reserve(port: int) -> bool:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.bind((_RESERVATION_HOST, port))
+    except OSError:
+        sock.close()
+        return False
+    _reservations[port] = sock
+    return True
+
+
 def _can_bind(port: int) -> bool:
     with socket.socket() as sock:
         try:
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -22,6 +22,7 @@
 _RESTART_DELAY_S = 1.0  # after a kill, and to observe a reload
 _EXIT_TIMEOUT_S = 12.0
 _OBSERVE_S = 4.0  # after the acknowledgement of a change
+_OBSERVE_LOAD_S = 1.0
 _FAULT_INTERVAL_S = 1.5
 _RESTORE_S = 1.0  # for which the store is away before it comes back older
 # Faults of instances that overlap with all other ones.
@@ -121,13 +122,14 @@
         return self.rng.choice(sorted(self.system.engines))
 
     def _choose_model_engine(self) -> str:
-        return self.rng.choice(
-            sorted(
-                engine_id
-                for engine_id, endpoint in self.system.endpoints.items()
-                if endpoint.service == _configuration.MODEL_SERVICE
-            )
-        )
+        """Returns the model engine that ran most requests lately.
+
+        A fault that shows only in responses does nothing at an idle engine.
+        """
+        before = self.system.journal_sizes(_configuration.MODEL_SERVICE)
+        eventlet.sleep(_OBSERVE_LOAD_S)
+        after = self.system.journal_sizes(_configuration.MODEL_SERVICE)
+        return max(sorted(after), key=lambda e: after[e] - before.get(e, 0))
 
     def _kill(self) -> str:
         name = self._choose_instance()
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -240,6 +240,15 @@
         """Returns the journals of all engines."""
         return sorted(self.folder.glob("*.journal"))
 
+    def journal_sizes(self, service: str) -> dict[str, int]:
+        """Returns the sizes of the journals of a service's engines by id."""
+        sizes = {}
+        for engine_id, endpoint in self.endpoints.items():
+            path = self.folder / f"{engine_id}.journal"
+            if endpoint.service == service and path.exists():
+                sizes[engine_id] = path.stat().st_size
+        return sizes
+
     def _start_store(self) -> None:
         port = ports.find_free_port()
         self._store_address = f"{ports.HOST}:{port}"
