--- a/packages/hollycart-core/src/hollycart_core/placement/_losses.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_losses.py
@@ -36,6 +36,11 @@
 _CROSS_ZONE_LOSS = 0.002
 # Share of a prompt's loss that counts if it is late but still answered.
 _LATE_LOSS = 0.75
+# Share of a prompt's loss that counts if it is late in any case and delayed
+# more.
+_DELAYED_LATE_LOSS = 0.1
+# Share of the contentions for a last slot in which this prompt has to wait.
+_YIELD_SHARE = 0.5
 # Weight of an answer that another prompt's prefill makes late, relative to a
 # prompt that is late itself: answers in decode have precedence.
 _INTERFERENCE_FACTOR = 2.0
@@ -169,9 +174,8 @@
                 now_ms, assignment.first_event_at_ms
             )
             if slack_ms < part_ms:
-                # A prompt that is late in any case loses 0.1 of its weight.
                 loss = assignment.weight * (
-                    _LATE_LOSS if slack_ms >= 0 else 0.1
+                    _LATE_LOSS if slack_ms >= 0 else _DELAYED_LATE_LOSS
                 )
             else:
                 loss = assignment.weight * _LATENCY_LOSS * part_ms / slack_ms
@@ -213,7 +217,8 @@
     for number in range(1, state.slots_free):
         term *= concurrent / number
         fit_probability += term
-    return prompt.weight * _LATE_LOSS * (1.0 - fit_probability) / 2.0
+    contention_probability = 1.0 - fit_probability
+    return prompt.weight * _LATE_LOSS * contention_probability * _YIELD_SHARE
 
 
 def primary_loss(
