Let a new instance query the peers that its first state names

It waited 150 ms for peers that know more than a restored store, but asked only its seeds in that time, which may be stale; the next queries followed after 400 ms. It now queries up to eight registered instances with its first state. The state that instances exchange has a module of its own, with the error of a malformed one typed; a read and a peer's state differ by era_start alone.

--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -7,17 +7,16 @@
 from collections.abc import Callable
 import random
 from typing import Any
-import zlib
 
 from absl import logging
 import eventlet
-import msgspec
 
 from hollycart import observe
 from hollycart.gateway import _history
 from hollycart.gateway import _messages
 from hollycart.gateway import _peers
 from hollycart.gateway import _read_times
+from hollycart.gateway import _shared_state
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import connections
@@ -36,34 +35,13 @@
 # A restored store may hold keys that were revoked since. An instance that has
 # just started waits so long for peers that know better.
 _PEER_ANSWER_MS = 150.0
+# Peers that an instance queries beside the readers if its state is old.
+_EXTRA_QUERIES = 3
+_FIRST_QUERIES = 8  # peers that an instance queries with its first state
 # Leases expire only in store outages longer than this.
 _LEASE_EXPIRY_OUTAGE_MS = 900.0
 
 
-class _StateReply(msgspec.Struct, array_like=True):
-    """The state as sent to a peer.
-
-    Attributes:
-        age_ms: Time since the state was last confirmed, in ms.
-        contents: The `_SharedState`, encoded and compressed.
-    """
-
-    age_ms: float
-    contents: bytes
-
-
-class _SharedState(msgspec.Struct, array_like=True):
-    """What an instance knows of the store; fields as in `RawState`."""
-
-    contents: kv.RangeResult
-    former: tuple[_history.FormerValue, ...] = ()
-    era_start: int = 0
-
-
-_REPLY_DECODER = msgspec.msgpack.Decoder(_StateReply)
-_SHARED_STATE_DECODER = msgspec.msgpack.Decoder(_SharedState)
-
-
 class StateReader:
     """Polls the store, or obtains the state from the instances that do.
 
@@ -208,11 +186,9 @@
             return None
         # All instances of a cell fetch a changed state within a few ms.
         if self._encoded is None or self._encoded[0] is not raw:
-            shared = _SharedState(raw.contents, raw.former, raw.era_start)
-            data = zlib.compress(msgspec.msgpack.encode(shared), 1)
-            self._encoded = (raw, data)
+            self._encoded = (raw, _shared_state.compress(raw))
         age_ms = self.platform_state.freshness.age_ms(self.clock.now_ms())
-        return msgspec.msgpack.encode(_StateReply(age_ms, self._encoded[1]))
+        return _shared_state.encode_reply(age_ms, self._encoded[1])
 
     def _run(self) -> None:
         while True:
@@ -273,9 +249,21 @@
             > self.schedule.direct_read_age_ms
         ):
             other_ips = [ip for ip in self._peers.addresses() if ip not in ips]
-            ips += self.rng.sample(other_ips, min(3, len(other_ips)))
+            ips += self.rng.sample(
+                other_ips, min(_EXTRA_QUERIES, len(other_ips))
+            )
         self._peers.query_freshness(ips)
 
+    def _query_listed_peers(self, snapshot: _state.Snapshot) -> None:
+        """Queries peers of any cell that are registered; seeds may be stale."""
+        assert self._peers is not None
+        ips = sorted(
+            a.ip for a in snapshot.peers.values() if a.ip != self._peers.ip
+        )
+        self._peers.query_freshness(
+            self.rng.sample(ips, min(_FIRST_QUERIES, len(ips)))
+        )
+
     def _read(self) -> None:
         self._reads_in_flight += 1
         started_ms = self.clock.now_ms()
@@ -305,7 +293,7 @@
         self._failing_since_ms = None
         self._last_success_ms = now_ms
         self.reads_succeeded += 1
-        self._apply_state(_SharedState(contents), None, started_ms)
+        self._apply_state(_shared_state.SharedState(contents), started_ms)
 
     def _confirm(self, confirmed_ms: float) -> None:
         """Confirms the state, after a start only once peers could answer."""
@@ -323,19 +311,19 @@
         self.platform_state.freshness.confirm(confirmed_ms)
 
     def _apply_state(
-        self, shared: _SharedState, era_start: int | None, confirmed_ms: float
+        self, shared: _shared_state.SharedState, confirmed_ms: float
     ) -> None:
         """Applies a read of the store or the state of a peer.
 
         Args:
             shared: What was read or received.
-            era_start: Lowest revision that the peer has seen in the era; None
-                for a read of the store.
             confirmed_ms: Instant at which the state was the newest.
         """
         assert self._peers is not None
         current = self.platform_state.snapshot
-        raw = self._history.update(shared.contents, shared.former, era_start)
+        raw = self._history.update(
+            shared.contents, shared.former, shared.era_start
+        )
         if raw is None:
             return
         if current is not None and raw.contents.era != current.era:
@@ -355,6 +343,8 @@
         changed = self.platform_state.apply(raw, snapshot, now_ms)
         self._confirm(confirmed_ms)
         self._peers.add_addresses(snapshot.peers.values())
+        if current is None:
+            self._query_listed_peers(snapshot)
         if changed or peers_changed:
             self.on_change()
         if changed:
@@ -439,19 +429,14 @@
             body = conn.read_body(_FETCH_TIMEOUT_MS, _MAX_STATE_BYTES)
             if head.status != 200:
                 return
-            reply = _REPLY_DECODER.decode(body)
-            shared = _SHARED_STATE_DECODER.decode(
-                zlib.decompress(reply.contents)
-            )
-        except (base.HollycartError, msgspec.DecodeError, zlib.error) as exc:
+            age_ms, shared = _shared_state.decode_reply(body)
+        except base.HollycartError as exc:
             logging.info("fetching the state from peer %s failed: %s", ip, exc)
             self._last_read_ms = float("-inf")  # makes a read due
             return
         finally:
             conn.close()
             self._fetch_in_flight = False
-        if reply.age_ms <= self.platform_state.freshness.max_age_ms:
+        if age_ms <= self.platform_state.freshness.max_age_ms:
             self._heard_peer = True
-            self._apply_state(
-                shared, shared.era_start, started_ms - reply.age_ms
-            )
+            self._apply_state(shared, started_ms - age_ms)
--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -1,5 +1,4 @@
 import random
-import zlib
 
 import pytest
 
@@ -9,6 +8,7 @@
 from hollycart.gateway import _messages
 from hollycart.gateway import _read_times
 from hollycart.gateway import _reader
+from hollycart.gateway import _shared_state
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import kv
@@ -60,7 +60,12 @@
 
     def __init__(self):
         self.changes = []
+        self.ip = "instance-0"
         self.ips = set()
+        self.queried = []
+
+    def query_freshness(self, ips):
+        self.queried.append(ips)
 
     def live(self):
         return {}
@@ -210,11 +215,8 @@
     store.contents = kv.RangeResult(1, items("a", "instance-1"))
     reader._read()
     clock.sleep_ms(40)
-    reply = _reader._REPLY_DECODER.decode(reader.encode_state())
-    assert reply.age_ms == 40
-    shared = _reader._SHARED_STATE_DECODER.decode(
-        zlib.decompress(reply.contents)
-    )
+    age_ms, shared = _shared_state.decode_reply(reader.encode_state())
+    assert age_ms == 40
     assert shared.contents == store.contents
 
 
@@ -255,10 +257,7 @@
     reader._read()
     store.contents = era(2, 40, "a")
     reader._read()
-    reply = _reader._REPLY_DECODER.decode(reader.encode_state())
-    shared = _reader._SHARED_STATE_DECODER.decode(
-        zlib.decompress(reply.contents)
-    )
+    _, shared = _shared_state.decode_reply(reader.encode_state())
     assert shared.former == (_history.FormerValue(item, False),)
     assert (shared.contents.era, shared.era_start) == (2, 40)
 
@@ -298,9 +297,9 @@
     reader.on_store_restored = lambda: restored.append(clock.now_ms())
     store.contents = era(1, 50, "a")
     reader._read()
-    shared = _reader._SharedState(era(2, 40, "a"), (), 40)
-    reader._apply_state(shared, 40, clock.now_ms())
-    reader._apply_state(shared, 40, clock.now_ms())
+    shared = _shared_state.SharedState(era(2, 40, "a"), (), 40)
+    reader._apply_state(shared, clock.now_ms())
+    reader._apply_state(shared, clock.now_ms())
     assert len(restored) == 1
 
 
@@ -329,12 +328,30 @@
     peer = _history.StoreHistory(Decoder())
     peer.update(era(1, 90, "a"))
     raw = peer.update(era(2, 40, "a"))
-    shared = _reader._SharedState(raw.contents, raw.former, raw.era_start)
+    shared = _shared_state.SharedState(raw.contents, raw.former, raw.era_start)
     reader._heard_peer = True
-    reader._apply_state(shared, raw.era_start, clock.now_ms())
+    reader._apply_state(shared, clock.now_ms())
     assert platform_state.freshness.is_fresh(clock.now_ms())
 
 
+def test_new_instance_queries_the_peers_that_its_first_state_names(
+    reader, store
+):
+    """Its seeds may be stale."""
+    names = [f"instance-{number}" for number in range(3)]  # 0 is the own one
+    store.contents = era(2, 40, "a", *names)
+    reader._read()
+    reader._read()
+    (queried,) = reader._peers.queried
+    assert sorted(queried) == ["instance-1", "instance-2"]
+
+
+@pytest.mark.parametrize("body", [b"", b"\x92", b"\x92\x01\xc4\x01x", b"no"])
+def test_malformed_state_of_a_peer_is_an_error(body):
+    with pytest.raises(base.PeerUnreachableError):
+        _shared_state.decode_reply(body)
+
+
 def test_new_instance_without_peers_trusts_the_store_after_a_time(
     reader, store, platform_state, clock
 ):
