Reset connections in the soak without an orderly close first

The proxy shut its sockets down before it closed them, which sends the FIN of an orderly close, and it passed a reset of an engine on as such a close, since eventlet's recv hides it. An endpoint that runs on and closes its connection between two events is what no sign tells apart, and the fault is documented as a reset. The proxy now sends resets only and forwards them; two tests failed before.

Two engines simulate such faults now.

--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -122,15 +122,15 @@
     def _choose_engine(self) -> str:
         return self.rng.choice(sorted(self.system.engines))
 
-    def _choose_model_engine(self) -> str:
-        """Returns the model engine that ran most requests lately.
+    def _choose_model_engines(self) -> list[str]:
+        """Returns the two model engines that ran most requests lately.
 
         A fault that shows only in responses does nothing at an idle engine.
         """
         before = self.system.journal_sizes(_configuration.MODEL_SERVICE)
         eventlet.sleep(_OBSERVE_LOAD_S)
         after = self.system.journal_sizes(_configuration.MODEL_SERVICE)
-        return max(sorted(after), key=lambda e: after[e] - before.get(e, 0))
+        return sorted(after, key=lambda e: before.get(e, 0) - after[e])[:2]
 
     def _kill(self) -> str:
         name = self._choose_instance()
@@ -201,33 +201,36 @@
         return engine
 
     def _engine_closes_inside_event(self) -> str:
-        engine = self._choose_model_engine()
-        faults = _engine.EngineFaults(closes_inside_event=True)
-        self._simulate(engine, faults, _PROXY_FAULT_S)
-        return engine
+        return self._simulate(
+            _engine.EngineFaults(closes_inside_event=True), _PROXY_FAULT_S
+        )
 
     def _engine_says_leaving(self) -> str:
-        """Lets an engine say that it leaves, while the store lists it."""
-        engine = self._choose_model_engine()
-        faults = _engine.EngineFaults(says_leaving=True)
-        self._simulate(engine, faults, _OBSERVE_S)
-        self.system.engines[engine].kill()
-        self.system.remove_endpoint(engine)
-        self.system.start_engine(engine)
-        return engine
+        """Lets engines say that they leave, while the store lists them."""
+        engines = self._simulate(
+            _engine.EngineFaults(says_leaving=True), _OBSERVE_S
+        )
+        for engine in engines.split():
+            self.system.engines[engine].kill()
+            self.system.remove_endpoint(engine)
+            self.system.start_engine(engine)
+        return engines
 
     def _engine_pauses(self) -> str:
-        engine = self._choose_model_engine()
-        faults = _engine.EngineFaults(pause_s=_record.PAUSE_S)
-        self._simulate(engine, faults, 2.0 * _record.PAUSE_S)
-        return engine
+        return self._simulate(
+            _engine.EngineFaults(pause_s=_record.PAUSE_S),
+            2.0 * _record.PAUSE_S,
+        )
 
-    def _simulate(
-        self, engine: str, faults: _engine.EngineFaults, seconds: float
-    ) -> None:
-        self.system.set_engine_faults(engine, faults)
+    def _simulate(self, faults: _engine.EngineFaults, seconds: float) -> str:
+        """Returns the ids of the engines that simulated the faults."""
+        engines = self._choose_model_engines()
+        for engine in engines:
+            self.system.set_engine_faults(engine, faults)
         eventlet.sleep(seconds)
-        self.system.set_engine_faults(engine, _engine.EngineFaults())
+        for engine in engines:
+            self.system.set_engine_faults(engine, _engine.EngineFaults())
+        return " ".join(engines)
 
     def _store_restored(self) -> str:
         """Restores the store to a copy that lacks the last changes.
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_proxy.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_proxy.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import eventlet
+from eventlet import hubs
 from eventlet.green import socket
 
 _READ_BYTES = 65536
@@ -78,7 +79,7 @@
 
     def _forward(self, source: Any, sink: Any, pair: tuple[Any, Any]) -> None:
         try:
-            while data := source.recv(_READ_BYTES):
+            while data := _receive(source):
                 self._apply_faults()
                 sink.sendall(data)
             self._apply_faults()
@@ -104,7 +105,15 @@
     linger = struct.pack("ii", 1, 0)
     try:
         sock.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, linger)
-        sock.shutdown(sockets.SHUT_RDWR)
     except OSError:
         pass  # the peer has already closed the connection
     sock.close()
+
+
+def _receive(sock: Any) -> bytes:
+    """Returns received bytes; eventlet's `recv` reports a reset as the end."""
+    while True:
+        try:
+            return bytes(sock.fd.recv(_READ_BYTES))
+        except BlockingIOError:
+            hubs.trampoline(sock.fd, read=True)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_proxy.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_proxy.py
@@ -3,6 +3,7 @@
 
 from hollycart_bench import ports
 from hollycart_bench import soak
+from hollycart_bench.soak import _proxy
 from hollycart_core import base
 from hollycart_core import connections
 
@@ -74,6 +75,49 @@
         send_request(conn)
 
 
+@pytest.fixture
+def unframed_stream(clock):
+    """Address of a server that sends a part of a response without a length.
+
+    `ends` collects functions that end the connections by a reset.
+    """
+    ends = []
+
+    def handler(exchange):
+        sock = exchange.detach()
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nid: 1\n\n")
+        ends.append(lambda: _proxy._reset(sock))
+        eventlet.sleep(30)
+
+    server = connections.HttpExchangeServer(
+        f"{ports.HOST}:{ports.find_free_port()}", handler, clock
+    )
+    server.start()
+    proxy = soak.FaultProxy(
+        f"{ports.HOST}:{ports.find_free_port()}", server.address
+    )
+    proxy.start()
+    yield proxy, ends
+    proxy.close()
+    server.close()
+
+
+@pytest.mark.parametrize("by", ["proxy", "target"])
+def test_reset_does_not_look_like_the_end_of_a_response(
+    unframed_stream, clock, by
+):
+    proxy, ends = unframed_stream
+    conn = connections.ClientConnection(proxy.address, clock)
+    conn.start(1000.0)
+    conn.send(HEAD, b"", 1000.0)
+    conn.read_head(1000.0)
+    assert conn.read_data(1000.0)
+    proxy.reset() if by == "proxy" else ends[0]()
+    with pytest.raises(base.EndpointFailedError):
+        conn.read_data(1000.0)
+    conn.close()
+
+
 def test_unreachable_target_resets_the_connection(proxy, target, clock):
     target.close()
     conn = connections.ClientConnection(proxy.address, clock)
