--- a/packages/hollycart/src/hollycart/gateway/_liveness.py
+++ b/packages/hollycart/src/hollycart/gateway/_liveness.py
@@ -59,7 +59,7 @@
         conn = connections.ClientConnection(endpoint.address, self.clock)
         try:
             conn.start(_TIMEOUT_MS)
-            if reports_load:
+            if reports_load and self._may_query(endpoint):
                 conn.send(self.codec.encode_load_query(), b"", _TIMEOUT_MS)
                 self.notices.record(endpoint, conn.read_head(_TIMEOUT_MS))
         except _failures.EndpointLostError:
@@ -76,3 +76,8 @@
             ) from exc
         finally:
             conn.close()
+
+    def _may_query(self, endpoint: placement.Endpoint) -> bool:
+        """Returns whether the endpoint has not asked for a pause."""
+        now_ms = self.clock.now_ms()
+        return not self.notices.restrictions.pause_left_ms(endpoint, now_ms)
--- a/packages/hollycart/src/hollycart/gateway/tests/test_notices.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_notices.py
@@ -116,6 +116,26 @@
     assert (left_ms > 0.0) == (seconds == "inf")
 
 
+def test_paused_endpoint_is_not_queried_for_the_end_of_its_answer(
+    system, endpoints, answers
+):
+    """The answer was in flight when the endpoint asked for a pause."""
+    system.apply_state()
+    for endpoint, listed in zip(
+        endpoints, system.listed_endpoints, strict=True
+    ):
+
+        def handler(exchange, fields, listed=listed):
+            system.forwarder.restrictions.record_pause(
+                listed, 5000.0, system.clock.now_ms()
+            )
+            answers.unframed(b"id: 1\ndata: 1\n\n")(exchange, fields)
+
+        endpoint.handler = handler
+    assert system.call("/stream/", tokens=100).status == 200
+    assert sum(call_counts(endpoints)) == 1
+
+
 def test_helper_that_leaves_or_pauses_is_not_sent_a_part(system, endpoints):
     """It asked for no more requests while the prompt waited to be sent."""
     system.apply_state()
