--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -68,6 +68,7 @@
     ) -> None:
         self.engine_id = engine_id
         self.parameters = parameters
+        self.slots = slots
         self.clock = clock
         self.faults = EngineFaults()
         self.engine_codec = hollycart_standins.EngineCodec()
@@ -102,6 +103,12 @@
             self.faults = msgspec.json.decode(exchange.body, type=EngineFaults)
             exchange.respond(200, (), b"")
             return
+        if self.engine_codec.is_report(exchange.head):
+            fields, body = self.engine_codec.encode_report(
+                self.slots - self._slots.counter, self.faults.says_leaving
+            )
+            exchange.respond(200, fields, body)
+            return
         req = self.engine_codec.decode_engine_request(
             exchange.head, exchange.body
         )
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -200,7 +200,7 @@
 def _check_notices(record: _record.SoakRecord, checkers: _Checkers) -> None:
     """Checks what engines ask of the instances that got their responses.
 
-    An instance that was killed or frozen since then is excused.
+    What reaches an engine after the instance was killed or frozen is excused.
     """
     calls = {c.request_id: c for c in record.calls}
     arrivals = collections.defaultdict(list)
@@ -217,23 +217,25 @@
         told_ms = min(
             (e.at_ms for e, _ in entries if e.event == "leaving"), default=None
         )
-        if told_ms is not None and not any(t > told_ms for t in lost_ms):
+        if told_ms is not None:
             bound_ms = told_ms + _LEAVING_BOUND_MS + _TOLERANCE_MS
+            excused_ms = _first_after(lost_ms, told_ms)
             late = [
                 c.request_id
                 for e, c in entries
-                if e.event == "run" and c.start_ms > bound_ms
+                if e.event == "run" and bound_ms < c.start_ms < excused_ms
             ]
             checkers["leaving by its word gets nothing"].check(
                 not late, f"{engine} got {late[:_MAX_SHOWN]} from {instance}"
             )
         for pause, _ in entries:
-            if pause.event != "pause" or any(
-                t > pause.at_ms - _TOLERANCE_MS for t in lost_ms
-            ):
+            if pause.event != "pause":
                 continue
             begin_ms = pause.at_ms + _PAUSE_GRACE_MS + _TOLERANCE_MS
-            end_ms = pause.at_ms + _record.PAUSE_S * 1000.0 - _TOLERANCE_MS
+            end_ms = min(
+                pause.at_ms + _record.PAUSE_S * 1000.0 - _TOLERANCE_MS,
+                _first_after(lost_ms, pause.at_ms - _TOLERANCE_MS),
+            )
             reached = sum(
                 e.event in ("run", "pause") and begin_ms < e.at_ms < end_ms
                 for e, _ in entries
@@ -244,6 +246,10 @@
             )
 
 
+def _first_after(times_ms: list[float], at_ms: float) -> float:
+    return min((t for t in times_ms if t > at_ms), default=float("inf"))
+
+
 def _check_revoked_keys(
     record: _record.SoakRecord, checker: checks.GuaranteeChecker
 ) -> None:
