Record a new era of an empty store once

Without any key the digest does not change with the era, so that each read counted as a new era and registered the instance again. Seen in the read of the change; the test failed before.

--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -334,7 +334,9 @@
             and raw.digest == current.digest
             and not peers_changed
         ):
-            snapshot = current._replace(revision=raw.contents.revision)
+            snapshot = current._replace(
+                revision=raw.contents.revision, era=raw.contents.era
+            )
         else:
             snapshot = self.decoder.decode(raw.merge())
             snapshot = snapshot._replace(digest=raw.digest)
--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -303,6 +303,17 @@
     assert len(restored) == 1
 
 
+def test_new_era_of_an_empty_store_is_recorded_once(reader, store):
+    restored = []
+    reader.on_store_restored = lambda: restored.append(1)
+    store.contents = era(1, 5)
+    reader._read()
+    store.contents = era(2, 3)
+    reader._read()
+    reader._read()
+    assert len(restored) == 1
+
+
 def test_peer_in_an_earlier_era_is_not_asked_for_its_state(
     reader, store, monkeypatch, clock
 ):
