Collect restricted endpoints only for prompts that are offered

Seen in the last read: each placement scanned all endpoints of its service for those that are leaving or paused, although only an offer to another cell names them, and the accepting ones were checked twice. The delegator collects them when it asks; no decision changes.

--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -85,7 +85,7 @@
                 request.meta.request_id,
                 service.name,
                 prompt,
-                progress.excluded | self._restricted(service.name, now_ms),
+                progress.excluded,
                 own,
             )
             or own
@@ -240,17 +240,9 @@
     ) -> list[placement.Endpoint]:
         return [
             e
-            for e in self._listed(service)
-            if self.restrictions.accepts(e, now_ms)
-        ]
-
-    def _restricted(self, service: str, now_ms: float) -> set[str]:
-        """Returns the listed endpoints that accept no requests."""
-        return {
-            e.id
             for e in self.platform_state.endpoints.values()
-            if e.service == service and not self.restrictions.accepts(e, now_ms)
-        }
+            if e.service == service and self.restrictions.accepts(e, now_ms)
+        ]
 
     def _check_pauses(self, service: str, now_ms: float) -> None:
         """Refuses the request if all endpoints of the service are in a pause.
--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -170,6 +170,12 @@
         excluded: set[str],
         max_loss: float,
     ) -> _messages.PlacementReply | None:
+        now_ms = self.clock.now_ms()
+        restricted = {
+            e.id
+            for e in self.platform_state.endpoints.values()
+            if e.service == service and not self.restrictions.accepts(e, now_ms)
+        }
         replied = event.Event()
         self._awaited[prompt.attempt_id] = replied
         self.peers.send(
@@ -182,7 +188,7 @@
                 prompt.target_ms,
                 prompt.remaining_ms,
                 prompt.max_gap_ms,
-                sorted(excluded),
+                sorted(excluded | restricted),
                 max_loss,
             ),
             ip,
