Decode, log and announce the limits that endpoints name

It is decoded now, kept in order of what is known about the times of the responses (EndpointRateLimits), logged (endpoint_limited, with source and age), counted and announced to the cell. Nothing acts on it yet.

--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -15,6 +15,8 @@
 from hollycart_core.placement._load_view import LoadView
 from hollycart_core.placement._offers import max_remote_loss
 from hollycart_core.placement._placer import Placer
+from hollycart_core.placement._rate_limits import EndpointRateLimits
+from hollycart_core.placement._rate_limits import RateStatement
 from hollycart_core.placement._restrictions import EndpointRestrictions
 from hollycart_core.placement._retry_budget import SharedRetryBudget
 from hollycart_core.placement._types import MIN_RETRY_AFTER_MS
@@ -32,6 +34,7 @@
     "CellReport",
     "Endpoint",
     "EndpointHealth",
+    "EndpointRateLimits",
     "EndpointRestrictions",
     "EngineModel",
     "LoadView",
@@ -39,6 +42,7 @@
     "Placement",
     "Placer",
     "Prompt",
+    "RateStatement",
     "Reservation",
     "SharedRetryBudget",
     "UnaccountedLoad",
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -97,11 +97,12 @@
         """
         sent_head = self._encode_head(request, progress, chosen, attempt_id)
         progress.possible_executions += 1
+        sent_ms = self.clock.now_ms()
         conn.send(sent_head, request.exchange.body, _SEND_TIMEOUT_MS)
         if chosen.assignments and self._may_time_out(request, progress):
             self.dependencies.add(attempt_id, chosen.assignments)
         head, response = self._read_matching_head(
-            request, progress, chosen, conn, sent_head
+            request, progress, chosen, conn, sent_head, sent_ms
         )
         if response.not_executed:
             progress.possible_executions -= 1
@@ -173,6 +174,7 @@
         chosen: placement.Placement,
         conn: connections.ClientConnection,
         sent_head: connections.RequestHead,
+        sent_ms: float,
     ) -> tuple[connections.ResponseHead, _codec.ResponseMeta]:
         """Reads the head of the response to this request.
 
@@ -181,7 +183,9 @@
         """
         for _ in range(_MAX_MISMATCHED_RESPONSES):
             head = self._read_head(request, progress, chosen, conn)
-            response = self.notices.record(chosen.endpoint, head)
+            response = self.notices.record(
+                chosen.endpoint, head, sent_ms, request.meta.request_id
+            )
             if response.request_id == request.meta.request_id:
                 return head, response
             if response.not_executed and not response.request_id:
--- a/packages/hollycart/src/hollycart/gateway/_codec.py
+++ b/packages/hollycart/src/hollycart/gateway/_codec.py
@@ -69,6 +69,8 @@
         retry_after_ms: Time after which to retry, in ms; None if not given.
         faulty_endpoint: Id or address of the endpoint that caused a rejection.
         leaving: Whether the endpoint that responded states that it is leaving.
+        limit_per_s: Requests a second that the endpoint accepts from all
+            instances together; None if it names no limit.
     """
 
     request_id: str
@@ -78,6 +80,7 @@
     retry_after_ms: float | None
     faulty_endpoint: str = ""
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 class EndpointLoad(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -93,11 +93,14 @@
         self.stall_ms = stall_ms
         self.pool = connections.ConnectionPool(clock)
         self.restrictions = placement.EndpointRestrictions()
+        self.limits = placement.EndpointRateLimits()
         self.notices = _notices.EndpointNotices(
             codec,
             self.restrictions,
+            self.limits,
             platform_state,
             peers.broadcast_leaving,
+            peers.broadcast_limit,
             log,
             metrics,
             clock,
@@ -151,11 +154,18 @@
     def start(self) -> None:
         """Starts the probes of endpoints and the exchange with other cells."""
         self.monitor.start()
-        self.delegator.start()
         self._delegate.start()
+        self.subscribe()
+
+    def subscribe(self) -> None:
+        """Sets the handlers of what other instances announce and reply."""
+        self.delegator.start()
         self.peers.subscribe(
             _messages.EndpointLeaving, self._handle_leaving_announced
         )
+        self.peers.subscribe(
+            _messages.EndpointLimited, self._handle_limit_announced
+        )
 
     def _handle_leaving_announced(
         self, message: _messages.EndpointLeaving, ip: str
@@ -165,6 +175,15 @@
             message.endpoint, message.born_ms, message.sender
         )
 
+    def _handle_limit_announced(
+        self, message: _messages.EndpointLimited, ip: str
+    ) -> None:
+        del ip
+        self.notices.record_announced_limit(
+            _messages.unpack_limit(message.limit, self.clock.now_ms()),
+            message.sender,
+        )
+
     def close(self) -> None:
         """Stops the probes and closes idle connections."""
         self.monitor.close()
--- a/packages/hollycart/src/hollycart/gateway/_liveness.py
+++ b/packages/hollycart/src/hollycart/gateway/_liveness.py
@@ -60,8 +60,10 @@
         try:
             conn.start(_TIMEOUT_MS)
             if reports_load and self._may_query(endpoint):
+                sent_ms = self.clock.now_ms()
                 conn.send(self.codec.encode_load_query(), b"", _TIMEOUT_MS)
-                self.notices.record(endpoint, conn.read_head(_TIMEOUT_MS))
+                head = conn.read_head(_TIMEOUT_MS)
+                self.notices.record(endpoint, head, sent_ms)
         except _failures.EndpointLostError:
             raise
         except base.SilentEndpointError:
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -192,6 +192,32 @@
     born_ms: int
 
 
+class EndpointLimit(msgspec.Struct, array_like=True):
+    """What an endpoint said about the limit on its rate of requests.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        born_ms: Start of its incarnation, Unix time in ms; 0 if unknown.
+        per_s: Requests a second from all instances together; None for no limit.
+        sent_age_ms: Time since the request was sent that the endpoint responded
+            to, in ms, at the sending of this message.
+        received_age_ms: Time since the response was received, in ms.
+    """
+
+    endpoint: str
+    born_ms: int
+    per_s: float | None
+    sent_age_ms: float
+    received_age_ms: float
+
+
+class EndpointLimited(msgspec.Struct, tag="m", array_like=True):
+    """Announces that an endpoint named another limit to the sender, or none."""
+
+    sender: str
+    limit: EndpointLimit
+
+
 class EndpointReport(msgspec.Struct, array_like=True):
     """Load of an endpoint that no instance accounts for.
 
@@ -297,6 +323,7 @@
     | StateChanged
     | EndpointSuspected
     | EndpointLeaving
+    | EndpointLimited
     | CellAnnouncement
     | PlacementRequest
     | PlacementReply
@@ -394,6 +421,43 @@
     )
 
 
+def pack_limit(
+    statement: placement.RateStatement, now_ms: float
+) -> EndpointLimit:
+    """Converts a statement for sending.
+
+    Args:
+        statement: The statement.
+        now_ms: Instant of the sending; the times are sent relative to it.
+    """
+    return EndpointLimit(
+        statement.endpoint,
+        statement.born_ms,
+        statement.per_s,
+        now_ms - statement.sent_ms,
+        now_ms - statement.received_ms,
+    )
+
+
+def unpack_limit(
+    limit: EndpointLimit, now_ms: float
+) -> placement.RateStatement:
+    """Converts a received statement to the clock of this instance.
+
+    Example:
+        >>> statement = placement.RateStatement("e", 1, 2.5, 3.0, 4.0)
+        >>> unpack_limit(pack_limit(statement, 9.0), 9.0) == statement
+        True
+    """
+    return placement.RateStatement(
+        limit.endpoint,
+        limit.born_ms,
+        limit.per_s,
+        now_ms - limit.sent_age_ms,
+        now_ms - limit.received_age_ms,
+    )
+
+
 def pack_report(report: placement.CellReport, now_ms: float) -> CellState:
     """Converts the summary of a cell for sending."""
     return CellState(
--- a/packages/hollycart/src/hollycart/gateway/_notices.py
+++ b/packages/hollycart/src/hollycart/gateway/_notices.py
@@ -13,17 +13,19 @@
 
 
 class EndpointNotices:
-    """Records that endpoints are leaving or ask for a pause.
+    """Records that endpoints are leaving, ask for a pause or limit their rate.
 
-    An endpoint that is leaving is announced to the cell. A pause binds only the
-    instance that got the response.
+    An endpoint that is leaving, or changes its limit, is announced to the cell.
+    A pause binds only the instance that got the response.
 
     Args:
         codec: Translates the platform's messages.
         restrictions: Receives what the endpoints ask for.
+        limits: Receives the limits that endpoints name.
         platform_state: Endpoints in force.
         announce_leaving: Announces a leaving endpoint, by id and start, to the
             other instances.
+        announce_limit: Announces a changed limit to the other instances.
         log: Decision log.
         metrics: Receives counts.
         clock: Source of time.
@@ -33,28 +35,38 @@
         self,
         codec: _codec.RequestCodec,
         restrictions: placement.EndpointRestrictions,
+        limits: placement.EndpointRateLimits,
         platform_state: _state.PlatformState,
         announce_leaving: Callable[[str, int], None],
+        announce_limit: Callable[[placement.RateStatement], None],
         log: observe.DecisionLog,
         metrics: observe.Metrics,
         clock: base.Clock,
     ) -> None:
         self.codec = codec
         self.restrictions = restrictions
+        self.limits = limits
         self.platform_state = platform_state
         self.announce_leaving = announce_leaving
+        self.announce_limit = announce_limit
         self.log = log
         self.metrics = metrics
         self.clock = clock
 
     def record(
-        self, endpoint: placement.Endpoint, head: connections.ResponseHead
+        self,
+        endpoint: placement.Endpoint,
+        head: connections.ResponseHead,
+        sent_ms: float,
+        request_id: str = "",
     ) -> _codec.ResponseMeta:
         """Records what the head of an endpoint's response asks for.
 
         Args:
             endpoint: The endpoint as it was listed when it was called.
             head: Head of its response.
+            sent_ms: Instant at which the request was sent.
+            request_id: Id of the request; empty if it had none.
 
         Returns:
             The decoded head.
@@ -70,6 +82,9 @@
             and response.retry_after_ms is not None
         ):
             self._record_pause(endpoint, response.retry_after_ms)
+        # The time of a response to another request is not known.
+        if response.request_id == request_id or not response.request_id:
+            self._record_limit(endpoint, response, sent_ms)
         return response
 
     def record_announced(
@@ -79,6 +94,47 @@
         if self.restrictions.record_leaving(endpoint_id, born_ms):
             self._log_leaving(endpoint_id, born_ms, sender)
 
+    def record_announced_limit(
+        self, statement: placement.RateStatement, sender: str
+    ) -> None:
+        """Records a limit that another instance announced."""
+        if self.limits.record(statement):
+            self._log_limit(statement, sender)
+
+    def _record_limit(
+        self,
+        endpoint: placement.Endpoint,
+        response: _codec.ResponseMeta,
+        sent_ms: float,
+    ) -> None:
+        # Only a sealed response is known to be complete in its header fields.
+        if response.limit_per_s is None and not response.sealed:
+            return
+        statement = placement.RateStatement(
+            endpoint.id,
+            endpoint.born_ms,
+            response.limit_per_s,
+            sent_ms,
+            self.clock.now_ms(),
+        )
+        if self.limits.record(statement):
+            self._log_limit(statement, "response")
+            self.announce_limit(statement)
+
+    def _log_limit(
+        self, statement: placement.RateStatement, source: str
+    ) -> None:
+        self.metrics.count("endpoint_limited")
+        self.log.write(
+            observe.decisions.EndpointLimited(
+                statement.endpoint,
+                statement.born_ms,
+                statement.per_s,
+                source,
+                round(self.clock.now_ms() - statement.received_ms, 1),
+            )
+        )
+
     def _log_leaving(self, endpoint_id: str, born_ms: int, source: str) -> None:
         listed = self.platform_state.endpoints.get(endpoint_id)
         age_ms = self.platform_state.freshness.age_ms(self.clock.now_ms())
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -299,6 +299,13 @@
             self.addresses(),
         )
 
+    def broadcast_limit(self, statement: placement.RateStatement) -> None:
+        """Announces to the cell that an endpoint changed its limit."""
+        limit = _messages.pack_limit(statement, self.clock.now_ms())
+        self._send(
+            _messages.EndpointLimited(self.name, limit), self.addresses()
+        )
+
     def addresses(self) -> list[str]:
         """Returns the IP addresses that datagrams are broadcast to."""
         return self.book.in_cell()
--- a/packages/hollycart/src/hollycart/gateway/_reserver.py
+++ b/packages/hollycart/src/hollycart/gateway/_reserver.py
@@ -141,9 +141,10 @@
         conn = connections.ClientConnection(endpoint.address, self.clock)
         try:
             conn.start(_CALL_TIMEOUT_MS)
+            sent_ms = self.clock.now_ms()
             conn.send(head, body, _CALL_TIMEOUT_MS)
             response = conn.read_head(_CALL_TIMEOUT_MS)
-            self.notices.record(endpoint, response)
+            self.notices.record(endpoint, response, sent_ms)
             conn.read_body(_CALL_TIMEOUT_MS, _MAX_RESPONSE_BYTES)
         except base.HollycartError as exc:
             logging.info(
--- a/packages/hollycart/src/hollycart/gateway/_survey.py
+++ b/packages/hollycart/src/hollycart/gateway/_survey.py
@@ -108,9 +108,10 @@
         conn = connections.ClientConnection(endpoint.address, self.clock)
         try:
             conn.start(_QUERY_TIMEOUT_MS)
+            sent_ms = self.clock.now_ms()
             conn.send(self.codec.encode_load_query(), b"", _QUERY_TIMEOUT_MS)
             head = conn.read_head(_QUERY_TIMEOUT_MS)
-            self.notices.record(endpoint, head)
+            self.notices.record(endpoint, head, sent_ms)
             body = conn.read_body(_QUERY_TIMEOUT_MS, _MAX_BODY_BYTES)
             return self.codec.decode_load(head, body)
         except base.HollycartError as exc:
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -76,6 +76,9 @@
             float(find(head.headers, b"pause") or "nan") * 1000.0,
             find(head.headers, b"faulty"),
             bool(find(head.headers, b"leaving")),
+            float(find(head.headers, b"limit"))
+            if find(head.headers, b"limit")
+            else None,
         )
 
     def encode_failure(self, request_id, retry_after_ms):
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -224,6 +224,26 @@
     pause_ms: float
 
 
+class EndpointLimited(Decision, tag="endpoint_limited"):
+    """An endpoint named another limit on its rate of requests, or none.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        born_ms: Start of its incarnation, Unix time in ms; 0 if unknown.
+        per_s: Requests a second that it accepts from all instances together;
+            None if it has ended its limit.
+        source: `response` if it said so to this instance, else the instance
+            that announced it.
+        age_ms: Time since the response was received, in ms.
+    """
+
+    endpoint: str
+    born_ms: int
+    per_s: float | None
+    source: str
+    age_ms: float
+
+
 class PeerFound(Decision, tag="peer_found"):
     """The first datagram of another instance arrived."""
 
@@ -433,6 +453,7 @@
     EndpointUnreachable,
     EndpointReachable,
     EndpointLeaving,
+    EndpointLimited,
     EndpointPaused,
     PeerFound,
     PeerLost,
