--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -87,6 +87,11 @@
         return ((b"Retry-After", str(retry_after_ms / 1000).encode()),)
 
 
+@pytest.fixture
+def plain_codec():
+    return PlainCodec()
+
+
 class Endpoint:
     """HTTP endpoint whose handler a test sets."""
 
