--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -33,11 +33,14 @@
         says_leaving: Whether its responses state that it is leaving.
         pause_s: Pause that it asks for with each rejection of all requests, in
             s; 0 accepts them.
+        limit_per_s: Limit that its responses name, in requests a second; 0 for
+            none.
     """
 
     closes_inside_event: bool = False
     says_leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float = 0.0
 
 
 class _Reservation(NamedTuple):
@@ -148,15 +151,22 @@
                 self._stream(exchange, req, self.parameters)
             else:
                 self.clock.sleep_ms(_PLAIN_SERVICE_TIME_MS)
-                fields = self.engine_codec.encode_success(
-                    req, False, self.faults.says_leaving
-                )
+                fields = self._encode_success(req, False)
                 exchange.respond(200, fields, response_body(req.request_id))
         except connections.CallerGoneError:
             self._write_journal("gone", req)
             raise
         self._write_journal("end", req)
 
+    def _encode_success(
+        self, req: hollycart_standins.EngineRequest, stream: bool
+    ) -> connections.Headers:
+        if self.faults.limit_per_s:
+            self._write_journal("limited", req)
+        return self.engine_codec.encode_success(
+            req, stream, self.faults.says_leaving, self.faults.limit_per_s
+        )
+
     def _stream(
         self,
         exchange: connections.Exchange,
@@ -173,9 +183,7 @@
         response: connections.Exchange | _unframed.UnframedResponse = exchange
         if closes_inside_event or last_number % _UNFRAMED_INTERVAL == 0:
             response = _unframed.UnframedResponse(exchange)
-        fields = self.engine_codec.encode_success(
-            req, True, self.faults.says_leaving
-        )
+        fields = self._encode_success(req, True)
         response.start(200, fields, None)
         for number in range(req.resume_after + 1, last_number + 1):
             self.clock.sleep_ms(model.decode_step_ms(1, req.prompt_tokens))
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -23,6 +23,7 @@
 _EXIT_TIMEOUT_S = 12.0
 _OBSERVE_S = 4.0  # after the acknowledgement of a change
 _OBSERVE_LOAD_S = 1.0
+_LIMIT_S = 10.0  # the bound on a limited rate holds 3 s after it is named
 _FAULT_INTERVAL_S = 1.5
 _RESTORE_S = 1.0  # for which the store is away before it comes back older
 # Faults of instances that overlap with all other ones.
@@ -74,6 +75,7 @@
             "engine_closes_inside_event": self._engine_closes_inside_event,
             "engine_says_leaving": self._engine_says_leaving,
             "engine_pauses": self._engine_pauses,
+            "engine_limits": self._engine_limits,
             "store_restored": self._store_restored,
             "engine_leaves": self._engine_leaves,
             "engine_vanishes": self._engine_vanishes,
@@ -222,6 +224,12 @@
             2.0 * _record.PAUSE_S,
         )
 
+    def _engine_limits(self) -> str:
+        return self._simulate(
+            _engine.EngineFaults(limit_per_s=_record.LIMIT_PER_S),
+            _LIMIT_S,
+        )
+
     def _simulate(self, faults: _engine.EngineFaults, seconds: float) -> str:
         """Returns the ids of the engines that simulated the faults."""
         engines = self._choose_model_engines()
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -16,6 +16,13 @@
 _LAST_OF_GRACE_MS = 8000.0 * 5.0 / 6.0
 _PAUSE_GRACE_MS = 500.0  # until a pause that an engine asks for is kept
 _MAX_IN_PAUSE = 2  # requests of an instance that reach a pausing engine
+# A limit that an engine names holds from so long after it was first named, for
+# requests of instances that were told so long before.
+_LIMIT_CONTACT_MS = 3000.0
+_LIMIT_TOLD_MS = 500.0
+_LIMIT_WINDOW_MS = 4000.0
+_LIMIT_SHARE = 1.5  # of the limit, allowed in a window
+_LIMIT_EXTRA = 5.0  # requests allowed in addition
 _ABANDONED_BOUND_MS = 500.0  # until the work for an abandoned request ends
 # Tolerance for clock readings of two processes and for a busy machine.
 _TOLERANCE_MS = 250.0
@@ -33,6 +40,7 @@
         "leaving gets nothing",
         "leaving by its word gets nothing",
         "a pause is kept",
+        "a limit is kept",
         "memory comes back",
         "refusals say when",
         "refused is not run",
@@ -102,6 +110,7 @@
     if any(c.abandoned and _is_fault_free(c, record) for c in record.calls):
         _check_abandoned_calls(record, checkers["work ends with its caller"])
     _check_notices(record, checkers)
+    _check_limits(record, checkers)
     for name, code in record.exits:
         checkers["stopped in time"].check(code == 0, f"{name} exit {code}")
     for name, count in record.held.items():
@@ -246,6 +255,74 @@
             )
 
 
+def _check_limits(record: _record.SoakRecord, checkers: _Checkers) -> None:
+    """Checks the limits of engines, summed over the instances.
+
+    What arrives from an instance after it was killed or frozen is excused.
+    """
+    instances = {c.request_id: c.instance for c in record.calls}
+    allowed = (
+        _LIMIT_SHARE * _record.LIMIT_PER_S * _LIMIT_WINDOW_MS / 1000.0
+        + _LIMIT_EXTRA
+    )
+    for fault in record.faults:
+        if fault.kind != "engine_limits":
+            continue
+        for engine in fault.target.split():
+            entries = [
+                e
+                for e in record.journal_entries
+                if e.engine == engine
+                and fault.start_ms <= e.at_ms <= fault.end_ms
+                and e.request_id in instances
+            ]
+            told_ms: dict[str, float] = {}
+            for entry in entries:
+                if entry.event == "limited":
+                    told_ms.setdefault(instances[entry.request_id], entry.at_ms)
+            if not told_ms:
+                continue
+            counted_from_ms = min(told_ms.values()) + _LIMIT_CONTACT_MS
+            arrivals = [
+                entry.at_ms
+                for entry in entries
+                if entry.event == "run"
+                and entry.at_ms >= counted_from_ms
+                and _is_bound(
+                    record, instances[entry.request_id], told_ms, entry.at_ms
+                )
+            ]
+            most = max(
+                (
+                    sum(t <= x < t + _LIMIT_WINDOW_MS for x in arrivals)
+                    for t in arrivals
+                ),
+                default=0,
+            )
+            checkers["a limit is kept"].check(
+                most <= allowed,
+                f"{engine} got {most} requests in 4 s, allowed {allowed:.0f}",
+            )
+
+
+def _is_bound(
+    record: _record.SoakRecord,
+    instance: str,
+    told_ms: dict[str, float],
+    at_ms: float,
+) -> bool:
+    """Returns whether an instance was told of a limit and not lost since."""
+    if instance not in told_ms:
+        return False
+    lost_ms = [
+        f.start_ms
+        for f in record.faults
+        if f.target == instance and f.kind in (*_CONNECTION_LOSS_FAULTS, "stop")
+    ]
+    bound_ms = told_ms[instance] + _LIMIT_TOLD_MS + _TOLERANCE_MS
+    return bound_ms <= at_ms < _first_after(lost_ms, told_ms[instance])
+
+
 def _first_after(times_ms: list[float], at_ms: float) -> float:
     return min((t for t in times_ms if t > at_ms), default=float("inf"))
 
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
@@ -48,7 +48,8 @@
         engine: Id of the engine.
         event: `run` (started), `end` (finished), `gone` (the caller left),
             `leaving` (started, and the response states that the engine is
-            leaving) or `pause` (rejected, with a pause of `PAUSE_S`).
+            leaving), `pause` (rejected, with a pause of `PAUSE_S`) or `limited`
+            (answered with the limit `LIMIT_PER_S`).
         request_id: Id that the caller gave to the attempt.
         team: Team that the request is billed to.
     """
@@ -61,6 +62,7 @@
 
 
 PAUSE_S = 2.0  # that engines ask for
+LIMIT_PER_S = 0.5  # that engines name, in requests a second
 
 
 class Fault(NamedTuple):
--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -153,6 +153,8 @@
     record.held["e-0"] = 0
     for event in ("leaving", "pause"):
         record.journal_entries.append(RUN._replace(event=event))
+    record.faults.append(soak.Fault("engine_limits", "e-0", 0.0, 20000.0))
+    record.journal_entries.append(RUN._replace(event="limited"))
     assert set(soak.check_guarantees(record)) == set(soak.GUARANTEES)
 
 
@@ -192,3 +194,25 @@
     record.journal_entries[-1] = gone
     record.calls[0] = record.calls[0]._replace(start_ms=13100.0)
     assert "stopping cuts nothing" in violated(record)
+
+
+def test_requests_beyond_the_limit_of_an_engine(record):
+    record.faults.append(soak.Fault("engine_limits", "e-0", 0.0, 30000.0))
+    for number in range(12):
+        name = f"limited{number}"
+        at_ms = 10000.0 + 400.0 * number
+        record.calls.append(CALL._replace(request_id=name, instance="n1"))
+        for event in ("run", "limited"):
+            record.journal_entries.append(
+                RUN._replace(request_id=name, at_ms=at_ms, event=event)
+            )
+    assert "a limit is kept" not in violated(record)
+    for number in range(9):
+        name = f"beyond{number}"
+        record.calls.append(CALL._replace(request_id=name, instance="n1"))
+        record.journal_entries.append(
+            RUN._replace(request_id=name, at_ms=14000.0 + 50.0 * number)
+        )
+    assert "a limit is kept" in violated(record)
+    record.faults.append(soak.Fault("freeze", "n1", 13500.0, 13600.0))
+    assert "a limit is kept" not in violated(record)
