--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -153,8 +153,8 @@
     record.held["e-0"] = 0
     for event in ("leaving", "pause"):
         record.journal_entries.append(RUN._replace(event=event))
-    record.faults.append(soak.Fault("engine_limits", "e-0", 0.0, 20000.0))
-    record.journal_entries.append(RUN._replace(event="limited"))
+    record.faults.append(soak.Fault("engine_limits", "e-0", 50000.0, 60000.0))
+    record.journal_entries.append(RUN._replace(event="limited", at_ms=55000.0))
     assert set(soak.check_guarantees(record)) == set(soak.GUARANTEES)
 
 
