Bound heads, interim responses and bodies, and give way while reading

Cause: a socket that always has data is read without a turn for other green threads, the time limit started anew with each interim response, and the body of a response to another request was skipped without any bound (412 MB for one answer). Now: one time limit for a head with its interim responses, 64 of them and 256 KB at most; bodies bounded in bytes and pieces; a response to another request in bytes and as a whole in time, and one that ends with its connection fails at once; a turn for others after 64 units of work (WorkMeter).

--- a/packages/hollycart-core/src/hollycart_core/base/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/base/__init__.py
@@ -45,8 +45,10 @@
 from hollycart_core.base._outcome import Outcome
 from hollycart_core.base._outcome import Unknown
 from hollycart_core.base._rendezvous import rendezvous_rank
+from hollycart_core.base._work_meter import WorkMeter
 
 __all__ = [
+    "WorkMeter",
     "DECODE_ERRORS",
     "AttemptId",
     "AttemptIdGenerator",
--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -13,6 +13,15 @@
 
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
+# Interim responses before the final one. One a second is usual while a request
+# is processed; no request takes longer than a minute.
+_MAX_INTERIM_RESPONSES = 64
+_MAX_INTERIM_BYTES = 1 << 18  # received for them
+# Pieces of one body: chunks, or what arrives at once. Framing of much smaller
+# pieces would cost more than the content.
+_MAX_BODY_PIECES = 65536
+_MAX_FOREIGN_BYTES = 1 << 20  # body of a response to another request
+_UNIT_BYTES = 4096  # bytes that are received in one unit of work
 # TCP_USER_TIMEOUT: Linux drops a connection whose sent bytes are not
 # acknowledged for this long.
 _TCP_USER_TIMEOUT_MS = 3000
@@ -43,6 +52,10 @@
         self._method = b""
         self._reusable = False
         self._skipped_foreign = False
+        self._framing = _messages.Framing.LENGTH
+        self._interim_count = 0
+        self._head_bytes = 0
+        self._work = base.WorkMeter()
 
     def start(self, timeout_ms: float) -> None:
         """Connects to the endpoint.
@@ -123,6 +136,8 @@
         self._method = head.method
         self._reusable = False
         self._skipped_foreign = False
+        self._interim_count = 0
+        self._head_bytes = 0
         fields = [
             (key, value)
             for key, value in head.headers
@@ -163,11 +178,17 @@
             request: Head of the request that still awaits its response.
 
         Raises:
-            SilentEndpointError: If the body stalls.
-            EndpointFailedError: If the body is truncated.
+            SilentEndpointError: If the body is not complete in time.
+            EndpointFailedError: If the body is truncated or too large, or ends
+                with the connection.
         """
-        while self.read_data(_TCP_USER_TIMEOUT_MS) is not None:
-            pass
+        if self._framing is _messages.Framing.CONNECTION:
+            self.close()
+            raise base.EndpointFailedError(
+                f"{self.address} sent a response to another request, without a "
+                "declared end"
+            )
+        self.read_body(_TCP_USER_TIMEOUT_MS, _MAX_FOREIGN_BYTES)
         # h11 accepts one response per request, so a new parser that awaits the
         # response to `request` takes over the bytes received so far.
         trailing = self._http.trailing_data[0]
@@ -192,12 +213,14 @@
 
         Raises:
             SilentEndpointError: If the head does not arrive in time.
-            EndpointFailedError: If the connection breaks or the response is
-                not valid HTTP.
+            EndpointFailedError: If the connection breaks, the response is not
+                valid HTTP or there are too many interim ones.
         """
+        end_ms = self.clock.now_ms() + timeout_ms
         event = self._next_event(timeout_ms)
         while isinstance(event, h11.InformationalResponse):
-            event = self._next_event(timeout_ms)
+            self._check_interim_responses()
+            event = self._next_event(end_ms - self.clock.now_ms())
         if not isinstance(event, h11.Response):
             self.close()
             raise base.EndpointFailedError(
@@ -206,11 +229,14 @@
         headers = tuple(event.headers.raw_items())
         length = _messages.find_header(headers, b"content-length")
         self._update_idle_until(headers)
+        self._framing = _messages.find_framing(
+            self._method, event.status_code, headers
+        )
         return _messages.ResponseHead(
             event.status_code,
             headers,
             int(length) if length else None,
-            _messages.find_framing(self._method, event.status_code, headers),
+            self._framing,
         )
 
     def read_data(self, timeout_ms: float) -> bytes | None:
@@ -251,12 +277,13 @@
             if data is None:
                 return b"".join(parts)
             size += len(data)
-            if size > max_bytes:
+            parts.append(data)
+            if size > max_bytes or len(parts) > _MAX_BODY_PIECES:
                 self.close()
                 raise base.EndpointFailedError(
-                    f"response of {self.address} exceeds {max_bytes} bytes"
+                    f"response of {self.address} exceeds {max_bytes} bytes or "
+                    f"{_MAX_BODY_PIECES} pieces"
                 )
-            parts.append(data)
 
     def _next_event(self, timeout_ms: float) -> Any:
         end_ms = self.clock.now_ms() + timeout_ms
@@ -269,9 +296,22 @@
                     f"{self.address} sent an invalid HTTP response: {exc}"
                 ) from exc
             if event is not h11.NEED_DATA:
+                self._work.add(1)
                 return event
             self._receive(end_ms - self.clock.now_ms())
 
+    def _check_interim_responses(self) -> None:
+        self._interim_count += 1
+        if (
+            self._interim_count > _MAX_INTERIM_RESPONSES
+            or self._head_bytes > _MAX_INTERIM_BYTES
+        ):
+            self.close()
+            raise base.EndpointFailedError(
+                f"{self.address} sent {self._interim_count} interim responses "
+                f"in {self._head_bytes} bytes and no final one"
+            )
+
     def _receive(self, timeout_ms: float) -> None:
         if self._sock is None:
             raise base.EndpointFailedError(
@@ -290,7 +330,9 @@
             raise base.EndpointFailedError(
                 f"reading from {self.address} failed: {exc}"
             ) from exc
+        self._head_bytes += len(data)
         self._http.receive_data(data)
+        self._work.add(1 + len(data) // _UNIT_BYTES)
 
     def _receive_bytes(self, timeout_ms: float) -> bytes:
         """Returns received bytes, or no bytes at an orderly close.
@@ -310,6 +352,7 @@
                     timeout=remaining_ms / 1000.0,
                     timeout_exc=std_socket.timeout,
                 )
+                self._work.reset()
 
     def _update_idle_until(self, headers: _messages.Headers) -> None:
         keep_alive_ms = _DEFAULT_KEEP_ALIVE_MS
