Judge answers by bounds of their own, and read callers and datagrams in turns

A stream's times count from its last complete event, so that a byte now and then does not prolong them; an event has a bound in pieces as well, found in linear time; a stream is bounded by the tokens that its request allows; the head has one time limit over all skipped answers; a rejection counts whatever its body is. Callers: bodies bounded in time and pieces, turns for others while requests are read; pipelined requests without end had been read ahead by 64 KB for each request served, without any bound on the sum. Datagrams: a turn for others after 64. Tests failed before: test_endless (gateway): no answer within 3 s or 504 instead of 502; test_endless_callers: 0 turns, unbounded read-ahead.

--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -19,7 +19,7 @@
 _MAX_INTERIM_BYTES = 1 << 18  # received for them
 # Pieces of one body: chunks, or what arrives at once. Framing of much smaller
 # pieces would cost more than the content.
-_MAX_BODY_PIECES = 65536
+_MAX_BODY_PIECES = 16384
 _MAX_FOREIGN_BYTES = 1 << 20  # body of a response to another request
 _UNIT_BYTES = 4096  # bytes that are received in one unit of work
 # TCP_USER_TIMEOUT: Linux drops a connection whose sent bytes are not
--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -18,6 +18,9 @@
 _READ_BYTES = 65536
 _MAX_READ_AHEAD_BYTES = 65536  # received after the request in progress
 _BACKLOG = 1024
+# Pieces of one request body: chunks, or what arrives at once.
+_MAX_BODY_PIECES = 16384
+_UNIT_BYTES = 4096  # bytes that are received in one unit of work
 _HTTP_1_0 = b"1.0"
 _WRITE_TIMEOUT_MS = 10000.0  # a caller that reads nothing is disconnected
 # TCP_USER_TIMEOUT: Linux drops a connection whose sent bytes are not
@@ -42,12 +45,15 @@
             complete head, in ms.
         idle_timeout_ms: Longest wait for the next bytes of a request body, or
             for a request on an idle connection, in ms.
+        body_timeout_ms: Time from the complete head of a request to the end of
+            its body, in ms.
     """
 
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 << 20
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
+    body_timeout_ms: float = 60000.0
 
 
 class Exchange:
@@ -148,6 +154,7 @@
         self._resets_on_close = False
         self._watcher: Any = None
         self._thread: Any = None
+        self._work = base.WorkMeter()
 
     def run(self) -> None:
         """Serves requests until the connection ends."""
@@ -281,9 +288,11 @@
     def _detect_disconnect(self, handler: Any) -> None:
         """Reads ahead and interrupts the handler if the caller disconnects."""
         sock = self._sock
+        pipelined_bytes = len(self._http.trailing_data[0])
         while (
             sock is not None
-            and len(self._read_ahead_data) < _MAX_READ_AHEAD_BYTES
+            and pipelined_bytes + len(self._read_ahead_data)
+            < _MAX_READ_AHEAD_BYTES
         ):
             try:
                 sock.settimeout(None)
@@ -308,6 +317,7 @@
         started_ms: float | None = None
         self._parse_read_ahead()
         while True:
+            self._work.add(1)
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
@@ -321,12 +331,17 @@
                     )
             elif isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > limits.max_body_bytes:
+                parts.append(bytes(event.data))
+                if (
+                    size > limits.max_body_bytes
+                    or len(parts) > _MAX_BODY_PIECES
+                ):
                     self._reject(
-                        413, f"body exceeds {limits.max_body_bytes} bytes"
+                        413,
+                        f"body exceeds {limits.max_body_bytes} bytes or "
+                        f"{_MAX_BODY_PIECES} pieces",
                     )
                     return None
-                parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 assert head is not None
                 return Exchange(
@@ -342,7 +357,8 @@
             elif event is h11.NEED_DATA:
                 if started_ms is None and self._http.trailing_data[0]:
                     started_ms = clock.now_ms()
-                if not self._receive(limits, head is not None, started_ms):
+                body_since_ms = received_ms if head is not None else None
+                if not self._receive(limits, body_since_ms, started_ms):
                     return None
                 if started_ms is None:
                     started_ms = clock.now_ms()
@@ -350,13 +366,17 @@
                 return None
 
     def _receive(
-        self, limits: ServerLimits, in_body: bool, started_ms: float | None
+        self,
+        limits: ServerLimits,
+        body_since_ms: float | None,
+        started_ms: float | None,
     ) -> bool:
         """Receives more bytes of a request.
 
         Args:
             limits: Timeouts of the connection.
-            in_body: Whether the head of the request is complete.
+            body_since_ms: Instant at which the head of the request was
+                complete; None if it is not.
             started_ms: Instant of the first bytes of the request; None if
                 none have arrived.
 
@@ -364,10 +384,14 @@
             False if the connection timed out or failed, or was closed between
             requests.
         """
+        now_ms = self.server.clock.now_ms()
         timeout_ms = limits.idle_timeout_ms
-        if started_ms is not None and not in_body:
-            elapsed_ms = self.server.clock.now_ms() - started_ms
-            timeout_ms = max(1.0, limits.header_timeout_ms - elapsed_ms)
+        if body_since_ms is not None:
+            left_ms = body_since_ms + limits.body_timeout_ms - now_ms
+            timeout_ms = max(1.0, min(timeout_ms, left_ms))
+        elif started_ms is not None:
+            left_ms = started_ms + limits.header_timeout_ms - now_ms
+            timeout_ms = max(1.0, left_ms)
         try:
             self._sock.settimeout(timeout_ms / 1000.0)
             data = self._sock.recv(_READ_BYTES)
@@ -379,6 +403,10 @@
             return False
         if not data and started_ms is None:
             return False
+        if body_since_ms is not None and timeout_ms <= 1.0:
+            self._reject(408, "the body of the request took too long")
+            return False
+        self._work.add(len(data) // _UNIT_BYTES)
         self._http.receive_data(data)
         return True
 
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/conftest.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/conftest.py
@@ -57,3 +57,18 @@
         thread.kill()
     for listener in listeners:
         listener.close()
+
+
+@pytest.fixture
+def turns():
+    """Counts the turns that another green thread gets."""
+    counted = []
+
+    def count():
+        while True:
+            counted.append(1)
+            eventlet.sleep(0)
+
+    thread = eventlet.spawn(count)
+    yield counted
+    thread.kill()
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_endless.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_endless.py
@@ -2,7 +2,6 @@
 
 import itertools
 
-import eventlet
 import pytest
 
 from hollycart_core import base
@@ -62,21 +61,6 @@
         pass
 
 
-@pytest.fixture
-def turns():
-    """Counts the turns that another green thread gets."""
-    counted = []
-
-    def count():
-        while True:
-            counted.append(1)
-            eventlet.sleep(0)
-
-    thread = eventlet.spawn(count)
-    yield counted
-    thread.kill()
-
-
 @pytest.fixture
 def exchange(clock):
     """Returns a connection on which a peer answers without end."""
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -1,5 +1,7 @@
 """Sends one attempt to an endpoint and relays the response."""
 
+from absl import logging
+
 from hollycart import observe
 from hollycart.gateway import _codec
 from hollycart.gateway import _failures
@@ -15,6 +17,14 @@
 
 _SEND_TIMEOUT_MS = 2000.0
 _MAX_BODY_BYTES = 8 << 20  # responses that are not streams
+# Body of a rejection, whose head says all that counts.
+_REJECTION_BODY_TIMEOUT_MS = 100.0
+_MAX_REJECTION_BYTES = 65536
+# Time for the body of an answer whose head came late, in ms.
+_MIN_BODY_TIMEOUT_MS = 100.0
+# Bytes of a stream for each token that the request allows, and at least.
+_STREAM_BYTES_PER_TOKEN = 512
+_MIN_STREAM_LIMIT_BYTES = 4 << 20
 MIN_REMAINING_MS = 20.0  # no attempt is sent with less time left
 # All endpoints of an attempt are probed if the response head takes longer than
 # this multiple of the predicted prefill time plus a margin for its error.
@@ -101,12 +111,13 @@
         conn.send(sent_head, request.exchange.body, _SEND_TIMEOUT_MS)
         if chosen.assignments and self._may_time_out(request, progress):
             self.dependencies.add(attempt_id, chosen.assignments)
+        head_end_ms = sent_ms + self._head_timeout_ms(request, progress, chosen)
         head, response = self._read_matching_head(
-            request, progress, chosen, conn, sent_head, sent_ms
+            request, chosen, conn, sent_head, sent_ms, head_end_ms
         )
         if response.not_executed:
             progress.possible_executions -= 1
-            conn.read_body(_SEND_TIMEOUT_MS, _MAX_BODY_BYTES)
+            self._skip_rejection_body(conn)
             raise _rejection_failure(chosen, head, response)
         success = 200 <= head.status < 300
         if success and not response.sealed:
@@ -118,8 +129,11 @@
         if success and request.route.kind is routing.RouteKind.STREAMING:
             self._relay_stream(request, progress, chosen, conn, head, listener)
             return
-        remaining_ms = request.deadline_ms - self.clock.now_ms()
-        body = conn.read_body(remaining_ms, _MAX_BODY_BYTES)
+        body = conn.read_body(
+            max(head_end_ms, self.clock.now_ms() + _MIN_BODY_TIMEOUT_MS)
+            - self.clock.now_ms(),
+            _MAX_BODY_BYTES,
+        )
         self._confirm_end(request, chosen, head)
         if not success and self._should_retry(request, progress, head):
             raise base.EndpointFailedError(
@@ -167,14 +181,25 @@
             and request.deadline_ms - self.clock.now_ms() > MIN_REMAINING_MS
         )
 
+    def _skip_rejection_body(self, conn: connections.ClientConnection) -> None:
+        """Reads the body of a rejection, so that the connection can be reused.
+
+        The rejection counts whether or not its body is complete.
+        """
+        try:
+            conn.read_body(_REJECTION_BODY_TIMEOUT_MS, _MAX_REJECTION_BYTES)
+        except base.EndpointFailedError as exc:
+            logging.info("body of a rejection is incomplete: %s", exc.detail)
+            conn.close()
+
     def _read_matching_head(
         self,
         request: _job.AdmittedRequest,
-        progress: _job.Progress,
         chosen: placement.Placement,
         conn: connections.ClientConnection,
         sent_head: connections.RequestHead,
         sent_ms: float,
+        end_ms: float,
     ) -> tuple[connections.ResponseHead, _codec.ResponseMeta]:
         """Reads the head of the response to this request.
 
@@ -182,7 +207,7 @@
         a request id counts as the response to this request.
         """
         for _ in range(_MAX_MISMATCHED_RESPONSES):
-            head = self._read_head(request, progress, chosen, conn)
+            head = self._read_head(chosen, conn, sent_ms, end_ms)
             response = self.notices.record(
                 chosen.endpoint, head, sent_ms, request.meta.request_id
             )
@@ -205,23 +230,22 @@
 
     def _read_head(
         self,
-        request: _job.AdmittedRequest,
-        progress: _job.Progress,
         chosen: placement.Placement,
         conn: connections.ClientConnection,
+        sent_ms: float,
+        end_ms: float,
     ) -> connections.ResponseHead:
         """Reads the next response head; probes the endpoints if it is late."""
-        head_timeout_ms = self._head_timeout_ms(request, progress, chosen)
         prefill_ms = chosen.first_event_ms - chosen.send_delay_ms
-        probe_after_ms = _PROBE_FACTOR * prefill_ms + _PROBE_MARGIN_MS
-        if not chosen.assignments or probe_after_ms >= head_timeout_ms:
-            return conn.read_head(head_timeout_ms)
-        try:
-            return conn.read_head(probe_after_ms)
-        except base.SilentEndpointError:
-            for assignment in chosen.assignments:
-                self.monitor.schedule_probe(assignment.endpoint)
-        return conn.read_head(head_timeout_ms - probe_after_ms)
+        probe_at_ms = sent_ms + _PROBE_FACTOR * prefill_ms + _PROBE_MARGIN_MS
+        now_ms = self.clock.now_ms()
+        if chosen.assignments and now_ms < probe_at_ms < end_ms:
+            try:
+                return conn.read_head(probe_at_ms - now_ms)
+            except base.SilentEndpointError:
+                for assignment in chosen.assignments:
+                    self.monitor.schedule_probe(assignment.endpoint)
+        return conn.read_head(end_ms - self.clock.now_ms())
 
     def _head_timeout_ms(
         self,
@@ -265,16 +289,25 @@
     ) -> None:
         events = progress.events
         events.discard_partial()
+        limit_bytes = max(
+            _MIN_STREAM_LIMIT_BYTES,
+            _STREAM_BYTES_PER_TOKEN * request.meta.max_output_tokens,
+        )
+        relayed_bytes = 0
+        event_ms = self.clock.now_ms()
         while True:
-            data = self._read_data(request, progress, chosen, conn)
+            data = self._read_data(request, progress, chosen, conn, event_ms)
             if data is None:
                 break
             complete = events.feed(data)
-            if events.overflowing:
+            relayed_bytes += len(complete)
+            if events.overflowing or relayed_bytes > limit_bytes:
                 raise base.EndpointFailedError(
-                    f"event from {chosen.endpoint.id} exceeds the size limit"
+                    f"stream or event from {chosen.endpoint.id} exceeds the "
+                    "size limit"
                 )
             if complete:
+                event_ms = self.clock.now_ms()
                 listener.on_event()
                 self._start_response(request, progress, head)
                 request.exchange.write(complete)
@@ -302,22 +335,26 @@
         progress: _job.Progress,
         chosen: placement.Placement,
         conn: connections.ClientConnection,
+        event_ms: float,
     ) -> bytes | None:
-        """Reads more of a stream; probes the endpoint if it is late."""
-        remaining_ms = request.deadline_ms - self.clock.now_ms()
+        """Reads more of a stream; probes the endpoint if an event is late.
+
+        The times count from the last complete event: single bytes of the next
+        one do not prolong them.
+        """
+        now_ms = self.clock.now_ms()
         if not self._may_time_out(request, progress):
-            return conn.read_data(remaining_ms)
-        probe_after_ms = max(
+            return conn.read_data(request.deadline_ms - now_ms)
+        probe_at_ms = event_ms + max(
             _MIN_GAP_PROBE_MS, _GAP_PROBE_FACTOR * request.route.max_gap_ms
         )
-        gap_timeout_ms = min(remaining_ms, probe_after_ms + self.stall_ms)
-        if probe_after_ms >= gap_timeout_ms:
-            return conn.read_data(gap_timeout_ms)
-        try:
-            return conn.read_data(probe_after_ms)
-        except base.SilentEndpointError:
-            self.monitor.schedule_probe(chosen.endpoint.id)
-        return conn.read_data(gap_timeout_ms - probe_after_ms)
+        end_ms = min(request.deadline_ms, probe_at_ms + self.stall_ms)
+        if now_ms < probe_at_ms < end_ms:
+            try:
+                return conn.read_data(probe_at_ms - now_ms)
+            except base.SilentEndpointError:
+                self.monitor.schedule_probe(chosen.endpoint.id)
+        return conn.read_data(end_ms - self.clock.now_ms())
 
     def _start_response(
         self,
--- a/packages/hollycart/src/hollycart/gateway/_codec.py
+++ b/packages/hollycart/src/hollycart/gateway/_codec.py
@@ -21,6 +21,8 @@
         output_tokens: Expected length of the answer, in tokens.
         last_event_id: Last event that the caller received of an interrupted
             stream; empty for a new one.
+        max_output_tokens: Largest length of the answer, in tokens; 0 if not
+            given.
     """
 
     request_id: str
@@ -31,6 +33,7 @@
     prompt_tokens: int
     output_tokens: int
     last_event_id: str
+    max_output_tokens: int = 0
 
 
 class AttemptMeta(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_events.py
+++ b/packages/hollycart/src/hollycart/gateway/_events.py
@@ -8,6 +8,9 @@
 _ID_FIELD = b"id:"
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _MAX_EVENT_BYTES = 1 << 20
+# Pieces of one event. An event usually arrives in one.
+_MAX_EVENT_PIECES = 4096
+_END_BYTES = 4  # of the longest end of an event
 
 
 class EventBuffer:
@@ -28,26 +31,38 @@
     def __init__(self) -> None:
         self.last_id = ""
         self.count = 0
-        self._partial = b""
+        self._partial = bytearray()
+        self._pieces = 0
 
     def feed(self, data: bytes) -> bytes:
         """Returns the events that `data` completes."""
-        data = self._partial + data
+        partial = self._partial
+        searched = max(0, len(partial) - _END_BYTES + 1)
+        partial += data
+        self._pieces += 1
         end = 0
-        for match in _EVENT_END.finditer(data):
-            self._record_event(data[end : match.start()])
+        for match in _EVENT_END.finditer(partial, searched):
+            self._record_event(bytes(partial[end : match.start()]))
             end = match.end()
-        self._partial = data[end:]
-        return data[:end]
+        if not end:
+            return b""
+        complete = bytes(partial[:end])
+        self._partial = partial[end:]
+        self._pieces = 1
+        return complete
 
     @property
     def overflowing(self) -> bool:
-        """Whether the incomplete event exceeds the size limit."""
-        return len(self._partial) > _MAX_EVENT_BYTES
+        """Whether the incomplete event exceeds the limits on its size."""
+        return (
+            len(self._partial) > _MAX_EVENT_BYTES
+            or self._pieces > _MAX_EVENT_PIECES
+        )
 
     def discard_partial(self) -> None:
         """Discards the incomplete event of a failed attempt."""
-        self._partial = b""
+        self._partial = bytearray()
+        self._pieces = 0
 
     def finish(self, framing: connections.Framing) -> bytes:
         """Ends the stream; returns the blank lines after the last event.
@@ -59,7 +74,8 @@
             TruncatedStreamError: If the stream ended inside an event, or
                 before its first event with the connection.
         """
-        rest, self._partial = self._partial, b""
+        rest = bytes(self._partial)
+        self.discard_partial()
         if rest.strip(b"\r\n"):
             raise _failures.TruncatedStreamError(
                 f"the stream ended {len(rest)} bytes into an event after event "
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -446,7 +446,9 @@
                 logging.debug("datagram to %s not sent: %s", ip, exc)
 
     def _receive(self) -> None:
+        work = base.WorkMeter()
         while True:
+            work.add(1)
             try:
                 data, (ip, _) = self._sock.recvfrom(_RECEIVE_BUFFER_BYTES)
             except OSError as exc:
