--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -55,7 +55,7 @@
         self._framing = _messages.Framing.LENGTH
         self._interim_count = 0
         self._head_bytes = 0
-        self._work = base.WorkMeter()
+        self._work = base.WorkMeter(f"response of {address}")
 
     def start(self, timeout_ms: float) -> None:
         """Connects to the endpoint.
--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -154,7 +154,7 @@
         self._resets_on_close = False
         self._watcher: Any = None
         self._thread: Any = None
-        self._work = base.WorkMeter()
+        self._work = base.WorkMeter(f"request to {server.address}")
 
     def run(self) -> None:
         """Serves requests until the connection ends."""
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -28,6 +28,8 @@
 # The load balancer removes an instance after two failed readiness checks, one
 # per second.
 _READINESS_PROPAGATION_MS = 2600.0
+# Delay of the event loop that is logged, in ms: a share of the shortest target.
+_MAX_LOOP_DELAY_MS = 150.0
 _CLOSE_MARGIN_MS = 500.0  # part of `grace_ms` kept for closing
 _DRAIN_POLL_MS = 50.0
 # Lease of the record by which other instances discover this one.
@@ -148,6 +150,7 @@
         self._peer_server = connections.HttpExchangeServer(
             f"{cfg.ip}:{cfg.peer_port}", self._serve_state, clock
         )
+        self._loop_watch = base.LoopWatch(clock, self._record_loop_delay)
         self._metrics_page: observe.MetricsPage | None = None
         self._metrics_server = connections.HttpExchangeServer(
             f"{cfg.ip}:{cfg.metrics_port}", self._serve_metrics, clock
@@ -168,6 +171,7 @@
             self._metrics_server.start()
         self.forwarder.start()
         self.front_server.start()
+        self._loop_watch.start()
         self.reader.on_change = self._apply_change
         self._registration.start()
         self.log.write(
@@ -200,6 +204,7 @@
 
     def close(self) -> None:
         """Stops all components."""
+        self._loop_watch.close()
         self.front_server.close()
         self._ready_server.close()
         self._peer_server.close()
@@ -243,6 +248,15 @@
             and self.platform_state.freshness.is_fresh(self.clock.now_ms())
         )
 
+    def _record_loop_delay(self, delay_ms: float) -> None:
+        self.metrics.record("loop_delay", "", "", delay_ms)
+        if delay_ms > _MAX_LOOP_DELAY_MS:
+            self.log.write(
+                observe.decisions.LoopDelayed(
+                    round(delay_ms, 1), base.WorkMeter.last_name
+                )
+            )
+
     def _schedule_probe(self, endpoint: str) -> None:
         self.forwarder.monitor.schedule_probe(endpoint)
 
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -446,7 +446,7 @@
                 logging.debug("datagram to %s not sent: %s", ip, exc)
 
     def _receive(self) -> None:
-        work = base.WorkMeter()
+        work = base.WorkMeter("datagrams")
         while True:
             work.add(1)
             try:
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -394,6 +394,18 @@
     age_ms: float
 
 
+class LoopDelayed(Decision, tag="loop_delayed"):
+    """The event loop took long to come round, or the process was paused.
+
+    Attributes:
+        delay_ms: Time by which a timer was late.
+        busy_with: What was read last before that.
+    """
+
+    delay_ms: float
+    busy_with: str
+
+
 class Started(Decision, tag="started"):
     """The instance accepts connections.
 
@@ -489,6 +501,7 @@
     StoreRestored,
     FreshnessLost,
     FreshnessRegained,
+    LoopDelayed,
     Started,
     Draining,
     Stopped,
