Answer what has arrived before an instance stops

Now the server accepts what waits, answers what has arrived (503 with Retry-After: admission has stopped), and only then closes. The new test of test_server got no answer on any of six connections before.

--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 import eventlet
+from eventlet import greenio
 from eventlet import greenthread
 from eventlet.green import socket
 import h11
@@ -18,6 +19,7 @@
 _READ_BYTES = 65536
 _MAX_READ_AHEAD_BYTES = 65536  # received after the request in progress
 _BACKLOG = 1024
+_FINISH_POLL_MS = 2.0
 # Pieces of one request body: chunks, or what arrives at once.
 _MAX_BODY_PIECES = 16384
 _UNIT_BYTES = 4096  # bytes that are received in one unit of work
@@ -170,6 +172,20 @@
             self._thread = None
             self.close()
 
+    def has_received(self) -> bool:
+        """Returns whether a request has arrived that was not answered yet."""
+        if self.busy or self._sock is None:
+            return self.busy
+        if self._read_ahead_data or self._http.trailing_data[0]:
+            return True
+        try:
+            peeked = self._sock.fd.recv(
+                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except OSError:
+            return False
+        return bool(peeked)
+
     def terminate(self) -> None:
         """Kills the serving thread and closes the socket."""
         if self._thread is not None:
@@ -276,7 +292,7 @@
         ):
             return False
         self._http.start_next_cycle()
-        return not (self.server.closing and not self._read_ahead_data)
+        return not self.server.closing or self.has_received()
 
     def _stop_watcher(self) -> None:
         # The watcher stops before the socket is closed, because the kernel may
@@ -475,6 +491,28 @@
         """Adds `Connection: close` to all further responses."""
         self.draining = True
 
+    def finish(self, timeout_ms: float) -> None:
+        """Answers the requests that have arrived, and accepts no others.
+
+        They may be on connections that were not accepted yet, and on idle ones
+        whose request was not read yet. Each connection ends with its response.
+
+        Args:
+            timeout_ms: Longest time for this, in ms.
+        """
+        self.closing = True
+        end_ms = self.clock.now_ms() + timeout_ms
+        if self._acceptor is not None:
+            self._acceptor.kill()
+            self._acceptor = None
+            self._accept_waiting()
+            self._listener.close()
+        while self.clock.now_ms() < end_ms:
+            eventlet.sleep(0)
+            if not any(c.has_received() for c in self._connections):
+                return
+            self.clock.sleep_ms(_FINISH_POLL_MS)
+
     def close(self) -> None:
         """Stops accepting and closes all connections, idle ones first."""
         self.closing = True
@@ -495,17 +533,29 @@
                 logging.warning("accepting a connection failed: %s", exc)
                 eventlet.sleep(0.05)
                 continue
+            self._start_connection(sock)
+
+    def _accept_waiting(self) -> None:
+        """Accepts the connections that wait in the listener's queue."""
+        while True:
             try:
-                _sockets.configure(sock, _TCP_USER_TIMEOUT_MS)
-            except OSError as exc:
-                logging.info("accepted connection already closed: %s", exc)
-                sock.close()
-                continue
-            eventlet.spawn_n(self._serve_connection, sock)
+                sock, _ = self._listener.fd.accept()
+            except OSError:
+                return  # none is waiting
+            self._start_connection(greenio.GreenSocket(sock))
 
-    def _serve_connection(self, sock: Any) -> None:
+    def _start_connection(self, sock: Any) -> None:
+        try:
+            _sockets.configure(sock, _TCP_USER_TIMEOUT_MS)
+        except OSError as exc:
+            logging.info("accepted connection already closed: %s", exc)
+            sock.close()
+            return
         conn = _ServerConnection(self, sock)
         self._connections.add(conn)
+        eventlet.spawn_n(self._serve_connection, conn)
+
+    def _serve_connection(self, conn: _ServerConnection) -> None:
         try:
             conn.run()
         finally:
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_endless_callers.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_endless_callers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hollycart_core import connections
+from hollycart_core.connections import _server
 
 PIECE_BYTES = 65536
 LIMITS = connections.ServerLimits(max_body_bytes=1 << 20)
@@ -59,17 +60,21 @@
     )
 
 
+def serve(server, sock):
+    _server._ServerConnection(server, sock).run()
+
+
 @pytest.mark.parametrize("kind", FLOODS)
 def test_request_without_end_is_refused_within_bounds(server, kind):
     head, unit, status = FLOODS[kind]
     sock = FloodingSocket(head, unit)
-    server._serve_connection(sock)
+    serve(server, sock)
     assert sock.sent.split()[1] == status
 
 
 def test_others_run_while_a_request_arrives_without_end(server, turns):
     head, unit, _ = FLOODS["body in tiny chunks"]
-    server._serve_connection(FloodingSocket(head, unit))
+    serve(server, FloodingSocket(head, unit))
     assert len(turns) >= 10
 
 
@@ -88,7 +93,7 @@
             raise connections.CallerGoneError("enough")
 
     server.handler = respond
-    server._serve_connection(sock)
+    serve(server, sock)
     assert len(turns) >= 10
     assert sock.received <= len(request) * len(served) + 4 * PIECE_BYTES
 
@@ -103,6 +108,6 @@
 
     server.limits = LIMITS._replace(body_timeout_ms=100.0)
     sock = SlowSocket(POST + b"Content-Length: 1000000\r\n\r\n", b"x")
-    server._serve_connection(sock)
+    serve(server, sock)
     assert sock.sent.split()[1] == b"408"
     assert sock.received < 1000
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
@@ -108,3 +108,36 @@
     received, was_reset = receive_all(start_server(handler), b"1.1")
     assert received == b"HTTP/1.1 200 OK\r\n\r\nabc"
     assert not was_reset
+
+
+def test_requests_that_arrived_before_the_stop_are_answered(
+    start_server, clock
+):
+    """On connections not accepted yet, and on kept ones, nothing was read."""
+
+    def handler(exchange):
+        eventlet.sleep(0.01)
+        exchange.respond(200, (), b"done")
+
+    server = start_server(handler)
+    host, _, port = server.address.rpartition(":")
+    request = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+    kept = green_socket.socket()
+    kept.connect((host, int(port)))
+    kept.sendall(request)
+    assert b"done" in kept.recv(65536)
+    socks = [kept]
+    for _ in range(5):
+        sock = socket.create_connection((host, int(port)))
+        socks.append(sock)
+    for sock in socks:
+        (sock.fd if sock is kept else sock).send(request)
+    server.drain()
+    server.finish(2000.0)
+    server.close()
+    for sock in socks:
+        sock.settimeout(5)
+        received = sock.recv(65536)
+        assert received.endswith(b"done")
+        assert b"connection: close" in received.lower()
+        sock.close()
--- a/packages/hollycart/src/hollycart/gateway/_admission.py
+++ b/packages/hollycart/src/hollycart/gateway/_admission.py
@@ -42,12 +42,17 @@
         self.clock = clock
         self._draining_since_ms: float | None = None
         self._grace_ms = 0.0
+        self._stopping = False
 
     def start_draining(self, grace_ms: float) -> None:
         """Starts to reject requests that may not end within `grace_ms`."""
         self._draining_since_ms = self.clock.now_ms()
         self._grace_ms = grace_ms
 
+    def stop(self) -> None:
+        """Rejects all requests from now on."""
+        self._stopping = True
+
     def admit(
         self, exchange: connections.Exchange, meta: _codec.RequestMeta
     ) -> _job.AdmittedRequest:
@@ -88,6 +93,10 @@
         )
 
     def _check_draining(self, route: routing.Route) -> None:
+        if self._stopping:
+            raise base.StoppingError(
+                "the instance stops now", _failures.RETRY_AFTER_MS
+            )
         if self._draining_since_ms is None:
             return
         draining_ms = self.clock.now_ms() - self._draining_since_ms
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -32,6 +32,8 @@
 _MAX_LOOP_DELAY_MS = 150.0
 _CLOSE_MARGIN_MS = 500.0  # part of `grace_ms` kept for closing
 _DRAIN_POLL_MS = 50.0
+# Time to refuse what has arrived but was not read when the drain ends.
+_FINISH_TIMEOUT_MS = 300.0
 # Lease of the record by which other instances discover this one.
 _REGISTRATION_LEASE_MS = 30000.0
 
@@ -200,6 +202,13 @@
             ):
                 break
             self.clock.sleep_ms(_DRAIN_POLL_MS)
+        self.forwarder.admission.stop()
+        self.front_server.finish(
+            min(
+                _FINISH_TIMEOUT_MS,
+                end_ms + _CLOSE_MARGIN_MS / 2.0 - self.clock.now_ms(),
+            )
+        )
         self.log.write(observe.decisions.Stopped(self.front_server.running))
 
     def close(self) -> None:
