Give up running attempts only after a refusal or two silent probes

Operators saw running work of a machine that was only silent or slow started again elsewhere. Here: one connection attempt without an answer, a single lost packet, marked the engine unreachable, announced that to the cell and aborted all attempts that ran there and could be repeated. A refusal is certain and still counts at once; silence counts after a second probe in a row. The first silence takes the engine out of use for new requests for a moment. test_monitor: [silent, answered] gave the attempts up before.

--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -422,7 +422,12 @@
             self.monitor.schedule_probe(exc.endpoint_id)
         elif isinstance(exc, base.EndpointUnreachableError):
             progress.excluded.add(endpoint_id)
-            self.monitor.report_unreachable(endpoint_id)
+            if isinstance(exc.__cause__, TimeoutError):
+                # A single packet may be lost; what runs there goes on.
+                self.health.record_timeout(endpoint_id, now_ms)
+                self.monitor.schedule_probe(endpoint_id)
+            else:
+                self.monitor.report_unreachable(endpoint_id)
         elif isinstance(exc, base.SilentEndpointError):
             progress.excluded.add(endpoint_id)
             self.health.record_timeout(endpoint_id, now_ms)
--- a/packages/hollycart/src/hollycart/gateway/_monitor.py
+++ b/packages/hollycart/src/hollycart/gateway/_monitor.py
@@ -16,6 +16,9 @@
 # A connection takes at most two round trips; an endpoint that takes longer than
 # this counts as unreachable.
 _PROBE_TIMEOUT_MS = 150.0
+# Probes without an answer, one after the other, before the attempts that run
+# there are given up. A single packet may be lost; a refusal is certain.
+_SILENT_PROBES = 2
 _REPROBE_INTERVAL_MS = 300.0
 
 
@@ -114,15 +117,30 @@
         logging.error("unexpected error in endpoint probes: %r", exc)
 
     def _probe(self, endpoint: placement.Endpoint) -> None:
-        conn = connections.ClientConnection(endpoint.address, self.clock)
         try:
-            conn.start(_PROBE_TIMEOUT_MS)
-        except base.EndpointUnreachableError:
-            self.report_unreachable(endpoint.id)
-            return
+            for number in range(1, _SILENT_PROBES + 1):
+                reached = self._connects(endpoint, number == _SILENT_PROBES)
+                if reached is not None:
+                    break
         finally:
-            conn.close()
             self._probes.pop(endpoint.id, None)
+        if not reached:
+            self.report_unreachable(endpoint.id)
+            return
         if endpoint.id in self.health.unreachable():
             self.log.write(observe.decisions.EndpointReachable(endpoint.id))
             self.health.mark_reachable(endpoint.id)
+
+    def _connects(
+        self, endpoint: placement.Endpoint, is_last: bool
+    ) -> bool | None:
+        """Returns whether an endpoint accepts a connection; None if unknown."""
+        conn = connections.ClientConnection(endpoint.address, self.clock)
+        try:
+            conn.start(_PROBE_TIMEOUT_MS)
+        except base.EndpointUnreachableError as exc:
+            silent = isinstance(exc.__cause__, TimeoutError)
+            return None if silent and not is_last else False
+        finally:
+            conn.close()
+        return True
--- /dev/null
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_monitor.py
@@ -0,0 +1,58 @@
+import pytest
+
+from hollycart.gateway import _monitor
+from hollycart_core import base
+from hollycart_core import connections
+from hollycart_core import placement
+
+
+@pytest.fixture
+def monitor(system, monkeypatch):
+    """Returns a monitor whose probes have the given outcomes, in turn."""
+
+    def make(outcomes):
+        pending = list(outcomes)
+
+        def start(conn, timeout_ms):
+            outcome = pending.pop(0)
+            if outcome is not None:
+                raise base.EndpointUnreachableError("no") from outcome
+
+        monkeypatch.setattr(connections.ClientConnection, "start", start)
+        lost = []
+        made = _monitor.EndpointMonitor(
+            system.platform_state,
+            placement.EndpointHealth(),
+            system.clock,
+            system.log,
+            lost.append,
+            lambda endpoint: None,
+        )
+        system.apply_state()
+        return made, lost, pending
+
+    return make
+
+
+SILENT = TimeoutError("timed out")
+REFUSED = ConnectionRefusedError("refused")
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "is_lost"),
+    [
+        ([SILENT, None], False),
+        ([SILENT, SILENT], True),
+        ([REFUSED], True),
+        ([SILENT, REFUSED], True),
+        ([None], False),
+    ],
+)
+def test_running_attempts_are_given_up_after_a_refusal_or_two_silences(
+    monitor, outcomes, is_lost
+):
+    made, lost, pending = monitor(outcomes)
+    made.schedule_probe("e0")
+    made.probe_all(["e0"])
+    assert lost == ["e0"] * is_lost
+    assert not pending
