Send nothing whose deadline has passed while the process was paused

A request that waited for its connection or a reservation was sent with 1 ms left after a pause. It is refused with 504 now, without having been sent.

--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -351,12 +351,7 @@
     def _run_attempt(
         self, request: _job.AdmittedRequest, progress: _job.Progress
     ) -> None:
-        now_ms = self.clock.now_ms()
-        if request.deadline_ms - now_ms < _attempt.MIN_REMAINING_MS:
-            raise base.DeadlineExceededError(
-                f"{request.deadline_ms - now_ms:.0f} ms left, an attempt needs "
-                f"{_attempt.MIN_REMAINING_MS:.0f} ms"
-            )
+        now_ms = self._check_deadline(request)
         attempt_id = f"{self.peers.incarnation:x}.{next(self._ids)}"
         chosen = self._attempt_placer.place(request, progress, attempt_id)
         self._log_placement(request, chosen, attempt_id, now_ms)
@@ -374,6 +369,7 @@
                 request, (endpoint, *chosen.helpers)
             )
             self.permits.check_before_send(attempt_id, endpoint)
+            self._check_deadline(request)
             recorder = self._make_recorder(request, progress, chosen)
             self._attempt_relay.run(
                 request, progress, chosen, conn, attempt_id, recorder
@@ -393,6 +389,20 @@
             if chosen.assignments:
                 self.delegator.remove(attempt_id)
 
+    def _check_deadline(self, request: _job.AdmittedRequest) -> float:
+        """Returns the current instant, if time is left for an attempt.
+
+        Raises:
+            DeadlineExceededError: If there is not enough.
+        """
+        now_ms = self.clock.now_ms()
+        if request.deadline_ms - now_ms < _attempt.MIN_REMAINING_MS:
+            raise base.DeadlineExceededError(
+                f"{request.deadline_ms - now_ms:.0f} ms left, an attempt needs "
+                f"{_attempt.MIN_REMAINING_MS:.0f} ms"
+            )
+        return now_ms
+
     def _connect(
         self, endpoint: placement.Endpoint, request: _job.AdmittedRequest
     ) -> connections.ClientConnection:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -492,3 +492,62 @@
     response = system.call("/once/")
     assert response.status == 200
     assert connections.find_header(response.headers, b"connection") == "close"
+
+
+def test_late_second_copy_of_an_answer_does_not_reach_the_next_caller(
+    system, endpoints, answers
+):
+    """The copy arrives when the connection already carries the next request."""
+    bodies = []
+
+    def handler(exchange, fields):
+        if bodies:
+            copy = b"HTTP/1.1 200 OK\r\nId: r1\r\nSeal: 1\r\n"
+            exchange._connection._sock.sendall(
+                copy + b"Content-Length: 5\r\n\r\nfirst"
+            )
+        bodies.append(b"second" if bodies else b"first")
+        exchange.respond(200, seal(fields), bodies[-1])
+
+    system.apply_state(listed_endpoints=system.listed_endpoints[:1])
+    endpoints[0].handler = handler
+    assert system.call("/again/").body == b"first"
+    second = system.call("/again/", id="r2")
+    assert second.body == b"second"
+    assert connections.find_header(second.headers, b"id") == "r2"
+
+
+def test_late_copy_without_an_id_is_not_passed_on(system, endpoints, answers):
+    calls = []
+
+    def handler(exchange, fields):
+        calls.append(fields[b"id"])
+        if len(calls) > 1:
+            copy = (
+                b"HTTP/1.1 200 OK\r\nSeal: 1\r\nContent-Length: 5\r\n\r\nfirst"
+            )
+            exchange._connection._sock.sendall(copy)
+        exchange.respond(200, seal(fields), b"own " + calls[-1].encode())
+
+    system.apply_state(listed_endpoints=system.listed_endpoints[:1])
+    endpoints[0].handler = handler
+    assert system.call("/again/").body == b"own r1"
+    assert system.call("/again/", id="r2").body == b"own r2"
+
+
+def test_request_whose_deadline_passed_before_the_send_is_not_sent(
+    system, endpoints, answers
+):
+    """The process was paused while it connected."""
+    system.apply_state()
+    for endpoint in endpoints:
+        endpoint.handler = answers.complete
+    acquire = system.forwarder.pool.acquire
+
+    def late(*args, **kwargs):
+        eventlet.sleep(0.3)
+        return acquire(*args, **kwargs)
+
+    system.forwarder.pool.acquire = late
+    assert system.call("/once/", wait=200).status == 504
+    assert not any(e.requests for e in endpoints)
