--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -8,6 +8,7 @@
 from eventlet import semaphore
 import msgspec
 
+from hollycart_bench.soak import _endless
 from hollycart_bench.soak import _unframed
 from hollycart_core import base
 from hollycart_core import connections
@@ -35,12 +36,15 @@
             s; 0 accepts them.
         limit_per_s: Limit that its responses name, in requests a second; 0 for
             none.
+        endless: Kind of response that it sends without end, one of
+            `_endless.KINDS`; empty for none.
     """
 
     closes_inside_event: bool = False
     says_leaving: bool = False
     pause_s: float = 0.0
     limit_per_s: float = 0.0
+    endless: str = ""
 
 
 class _Reservation(NamedTuple):
@@ -146,6 +150,10 @@
         self._write_journal("run", req)
         if self.faults.says_leaving:
             self._write_journal("leaving", req)
+        if self.faults.endless:
+            fields = self._encode_success(req, req.prompt_tokens > 0)
+            _endless.send_without_end(exchange, self.faults.endless, fields)
+            return
         try:
             if req.prompt_tokens and self.parameters is not None:
                 self._stream(exchange, req, self.parameters)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -8,6 +8,7 @@
 
 from hollycart_bench import fleet
 from hollycart_bench.soak import _configuration
+from hollycart_bench.soak import _endless
 from hollycart_bench.soak import _engine
 from hollycart_bench.soak import _record
 from hollycart_bench.soak import _system
@@ -76,6 +77,7 @@
             "engine_says_leaving": self._engine_says_leaving,
             "engine_pauses": self._engine_pauses,
             "engine_limits": self._engine_limits,
+            "engine_endless": self._engine_endless,
             "store_restored": self._store_restored,
             "engine_leaves": self._engine_leaves,
             "engine_vanishes": self._engine_vanishes,
@@ -230,6 +232,22 @@
             _LIMIT_S,
         )
 
+    def _engine_endless(self) -> str:
+        """Lets an engine of each kind send without end."""
+        engines = [
+            self._choose_model_engines()[0],
+            min(self.system.journal_sizes(self.system.plain_service)),
+        ]
+        for kind in _endless.KINDS:
+            for engine in engines:
+                self.system.set_engine_faults(
+                    engine, _engine.EngineFaults(endless=kind)
+                )
+            eventlet.sleep(_PROXY_FAULT_S)
+        for engine in engines:
+            self.system.set_engine_faults(engine, _engine.EngineFaults())
+        return " ".join(engines)
+
     def _simulate(self, faults: _engine.EngineFaults, seconds: float) -> str:
         """Returns the ids of the engines that simulated the faults."""
         engines = self._choose_model_engines()
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -52,6 +52,8 @@
         "work ends with its caller",
     )
 )
+# Guarantees that are checked if enough requests were sent beside the fault.
+OPTIONAL_GUARANTEES = frozenset(("endless engines harm nobody else",))
 # Guarantees whose checks compare no times, so that a busy machine cannot change
 # the verdict.
 UNTIMED_GUARANTEES = frozenset(
@@ -64,6 +66,7 @@
 )
 # Minimum share served of the requests that no fault overlaps.
 _MIN_SERVED_SHARE = 0.99
+_MIN_CALLS_BESIDE_FAULT = 50  # without another fault nearby
 _FAULT_SETTLE_MS = 4000.0  # time after a fault in which it may have effects
 
 
@@ -116,6 +119,7 @@
     for name, count in record.held.items():
         checkers["memory comes back"].check(count == 0, f"{name} holds {count}")
     _check_served_without_faults(record, checkers["served without faults"])
+    _check_beside_endless_engines(record, checkers)
     return dict(checkers)
 
 
@@ -399,6 +403,40 @@
     )
 
 
+def _check_beside_endless_engines(
+    record: _record.SoakRecord, checkers: _Checkers
+) -> None:
+    """Checks that engines that send without end harm no other requests.
+
+    These are the requests that did not reach such an engine, without another
+    fault nearby.
+    """
+    endless = [f for f in record.faults if f.kind == "engine_endless"]
+    others = _record.SoakRecord()
+    others.faults = [f for f in record.faults if f.kind != "engine_endless"]
+    for fault in endless:
+        engines = set(fault.target.split())
+        touched = {
+            e.request_id for e in record.journal_entries if e.engine in engines
+        }
+        calls = [
+            c
+            for c in record.calls
+            if fault.start_ms <= c.start_ms <= fault.end_ms
+            and not c.abandoned
+            and c.request_id not in touched
+            and c.team not in {t for t, _ in record.revoked_teams}
+            and _is_fault_free(c, others)
+        ]
+        if len(calls) < _MIN_CALLS_BESIDE_FAULT:
+            continue
+        served = sum(c.complete and 200 <= c.status < 300 for c in calls)
+        checkers["endless engines harm nobody else"].check(
+            served >= _MIN_SERVED_SHARE * len(calls),
+            f"{served} of {len(calls)} served beside {fault.target}",
+        )
+
+
 def _is_fault_free(call: _record.Call, record: _record.SoakRecord) -> bool:
     """Returns whether no fault overlaps a request or ended shortly before."""
     return not any(
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_runner.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_runner.py
@@ -23,6 +23,7 @@
 _SHORT_FAULTS = frozenset(
     (
         "engine_closes_inside_event",
+        "engine_endless",
         "engine_kill",
         "engine_pauses",
         "engine_reset",
@@ -198,10 +199,11 @@
     record: _record.SoakRecord, seed: int, fault_free_s: float, short: bool
 ) -> int:
     expected = _judge.UNTIMED_GUARANTEES if short else _judge.GUARANTEES
+    printed = expected if short else expected | _judge.OPTIONAL_GUARANTEES
     checkers = {
         name: checker
         for name, checker in _judge.check_guarantees(record).items()
-        if name in expected
+        if name in printed
     }
     kinds = collections.Counter(c.kind for c in record.calls)
     statuses = collections.Counter(c.status for c in record.calls)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -216,3 +216,22 @@
     assert "a limit is kept" in violated(record)
     record.faults.append(soak.Fault("freeze", "n1", 13500.0, 13600.0))
     assert "a limit is kept" not in violated(record)
+
+
+def test_requests_beside_an_engine_that_sends_without_end(record):
+    record.faults.append(soak.Fault("engine_endless", "e-1", 40000.0, 50000.0))
+    for number in range(60):
+        record.calls.append(
+            CALL._replace(
+                request_id=f"beside{number}",
+                start_ms=41000.0,
+                end_ms=41100.0,
+                status=200 if number else 503,
+                retry_after_ms=250.0,
+            )
+        )
+    assert "endless engines harm nobody else" in violated(record)
+    record.journal_entries.append(
+        RUN._replace(request_id="beside0", engine="e-1", at_ms=41000.0)
+    )
+    assert "endless engines harm nobody else" not in violated(record)
