Do not cut a slow stream that could not be retried

Here: an attempt that was late was given up after its time limit although the retry budget was empty, so that the caller's stream ended instead of going on elsewhere. Now it goes on until the deadline then. The new test (1.8 s to the head, 2.3 s between events, no retry left) failed before in both phases and passes.

--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -1,5 +1,7 @@
 """Sends one attempt to an endpoint and relays the response."""
 
+from collections.abc import Callable
+
 from absl import logging
 
 from hollycart import observe
@@ -58,6 +60,9 @@
         clock: Source of time.
         stall_ms: Time for which an engine waits for an unreachable engine,
             in ms.
+        has_retries: Returns whether the retry budget of a service has room.
+            Without a retry, an attempt that is late goes on: it may be slow
+            but sound.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         log: observe.DecisionLog,
         clock: base.Clock,
         stall_ms: float,
+        has_retries: Callable[[str], bool],
     ) -> None:
         self.codec = codec
         self.notices = notices
@@ -79,6 +85,7 @@
         self.log = log
         self.clock = clock
         self.stall_ms = stall_ms
+        self.has_retries = has_retries
 
     def run(
         self,
@@ -129,11 +136,11 @@
         if success and request.route.kind is routing.RouteKind.STREAMING:
             self._relay_stream(request, progress, chosen, conn, head, listener)
             return
-        body = conn.read_body(
-            max(head_end_ms, self.clock.now_ms() + _MIN_BODY_TIMEOUT_MS)
-            - self.clock.now_ms(),
-            _MAX_BODY_BYTES,
-        )
+        now_ms = self.clock.now_ms()
+        body_end_ms = request.deadline_ms
+        if self.has_retries(request.service.name):
+            body_end_ms = max(head_end_ms, now_ms + _MIN_BODY_TIMEOUT_MS)
+        body = conn.read_body(body_end_ms - now_ms, _MAX_BODY_BYTES)
         self._confirm_end(request, chosen, head)
         if not success and self._should_retry(request, progress, head):
             raise base.EndpointFailedError(
@@ -207,7 +214,13 @@
         a request id counts as the response to this request.
         """
         for _ in range(_MAX_MISMATCHED_RESPONSES):
-            head = self._read_head(chosen, conn, sent_ms, end_ms)
+            try:
+                head = self._read_head(chosen, conn, sent_ms, end_ms)
+            except base.SilentEndpointError:
+                if self.has_retries(request.service.name):
+                    raise
+                end_ms = request.deadline_ms
+                head = conn.read_head(end_ms - self.clock.now_ms())
             response = self.notices.record(
                 chosen.endpoint, head, sent_ms, request.meta.request_id
             )
@@ -354,7 +367,12 @@
                 return conn.read_data(probe_at_ms - now_ms)
             except base.SilentEndpointError:
                 self.monitor.schedule_probe(chosen.endpoint.id)
-        return conn.read_data(end_ms - self.clock.now_ms())
+        try:
+            return conn.read_data(end_ms - self.clock.now_ms())
+        except base.SilentEndpointError:
+            if self.has_retries(request.service.name):
+                raise
+        return conn.read_data(request.deadline_ms - self.clock.now_ms())
 
     def _start_response(
         self,
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -159,6 +159,7 @@
             log,
             clock,
             stall_ms,
+            self._has_retries,
         )
         self._ids = itertools.count()
 
@@ -389,6 +390,13 @@
             if chosen.assignments:
                 self.delegator.remove(attempt_id)
 
+    def _has_retries(self, service: str) -> bool:
+        """Returns whether the retry budget of a service has room."""
+        left = self.budget.left(
+            service, self.clock.now_ms(), self.peers.fleet_size()
+        )
+        return left >= 1.0
+
     def _check_deadline(self, request: _job.AdmittedRequest) -> float:
         """Returns the current instant, if time is left for an attempt.
 
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -551,3 +551,28 @@
     system.forwarder.pool.acquire = late
     assert system.call("/once/", wait=200).status == 504
     assert not any(e.requests for e in endpoints)
+
+
+@pytest.mark.parametrize("phase", ["head", "event"])
+def test_slow_but_sound_stream_is_not_cut_if_it_could_not_be_retried(
+    system, endpoints, phase
+):
+    """The retry budget is empty; the gap is longer than the time limit."""
+
+    def handler(exchange, fields):
+        if phase == "head":
+            eventlet.sleep(1.8)
+        exchange.start(200, seal(fields), None)
+        exchange.write(b"id: 1\ndata: 1\n\n")
+        if phase == "event":
+            eventlet.sleep(2.3)
+        exchange.write(b"id: 2\ndata: 2\n\n")
+        exchange.finish()
+
+    system.apply_state()
+    system.forwarder.budget.slack = system.forwarder.budget.ratio = 0.0
+    script(endpoints, handler)
+    response = system.call("/stream/", tokens=100, timeout_ms=9000)
+    assert response.status == 200
+    assert response.body.endswith(b"id: 2\ndata: 2\n\n")
+    assert request_count(endpoints) == 1
