Start the ids of permit queries at random

They started at 0 with each start of an instance, so that a late reply to its former start could have matched a new query and granted what was not asked.

--- a/packages/hollycart/src/hollycart/gateway/_permits.py
+++ b/packages/hollycart/src/hollycart/gateway/_permits.py
@@ -27,6 +27,7 @@
 _VALIDITY_MS = 500.0
 # Number of the latest heard instances of another cell that are asked in turn.
 _MAX_CONTACTS = 8
+_QUERY_ID_BITS = 48
 # A query that was forwarded once is answered or dropped.
 _MAX_FORWARDS = 1
 
@@ -72,7 +73,8 @@
         self._available_ms: dict[str, float] = {}
         self._expiry_ms: dict[tuple[str, str], float] = {}
         self._awaited: dict[int, event.Event] = {}
-        self._query_ids = itertools.count()
+        # A reply to a query of an earlier start must not match.
+        self._query_ids = itertools.count(rng.getrandbits(_QUERY_ID_BITS))
 
     def subscribe(self) -> None:
         """Sets the handlers of queries, replies and announced limits."""
--- a/packages/hollycart/src/hollycart/gateway/tests/test_limits.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_limits.py
@@ -131,7 +131,7 @@
         clock = fleet.clock
         view, health = placement.LoadView(), placement.EndpointHealth()
         log = observe.DecisionLog(name, clock)
-        rng = random.Random(name)
+        rng = random.Random(f"{name} {clock.now_ms()}")
         self.state = _state.PlatformState(4000.0, 2000.0)
         self.peers = _peers.PeerExchange(
             name,
@@ -454,6 +454,24 @@
     assert statuses == [503] * 10
 
 
+def test_queries_of_two_starts_have_different_ids(plain_codec, config):
+    """A late reply to the former start must not match a query of the new."""
+    fleet = Fleet(plain_codec, config, 4, endpoints=1)
+    fleet.name_limit("e0", 8.0)
+    fleet.run(8.0, 30.0)
+    entry = next(i for i in fleet.instances if i is not fleet.grantor("e0"))
+    number = fleet.instances.index(entry)
+    fleet.start(entry)
+    limit = entry.forwarder.limits.find(fleet.endpoints[0])
+    sent = []
+    for instance in (entry, fleet.instances[number]):
+        instance.peers.send = lambda message, ip: sent.append(message.query_id)
+        now_ms = fleet.clock.now_ms()
+        instance.forwarder.permits._ask(fleet.endpoints[0], limit, now_ms)
+    former, new = sent
+    assert abs(new - former) > 1000
+
+
 def test_permit_that_has_expired_is_not_used(plain_codec, config):
     """The process is paused between the grant and the send."""
     fleet = Fleet(plain_codec, config, 4, endpoints=1)
