Let a new reader take what a restored store lacks from peers that lag

Trace: n2 was restarted while the store held the copy, read revision 19 of era 2, and became a reader. Its peers held the configuration of the former era at revision 15 of the same era; their replies were ignored, since their position was lower, and as a reader it did not ask again. So it kept the copy until the operator wrote again, 7.3 s on. Now a new instance fetches the state of any peer in its era until one has been heard, whatever the revision, and asks until then.

--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -168,7 +168,11 @@
             self._confirm(confirmed_ms)
             if message.peers_digest != self._peers_digest():
                 self._schedule_peers_fetch(ip)
-        elif current is None or message.position >= current.position:
+        elif (
+            current is None
+            or message.position >= current.position
+            or (self._awaits_peers() and message.era == current.era)
+        ):
             self._schedule_fetch(ip)
 
     def handle_state_changed(
@@ -240,6 +244,9 @@
 
     def _query_peers(self, now_ms: float) -> None:
         assert self._peers is not None
+        snapshot = self.platform_state.snapshot
+        if snapshot is not None and self._awaits_peers():
+            self._query_listed_peers(snapshot)
         readers = self._reader_names()
         if self.name in readers:
             return
@@ -295,16 +302,18 @@
         self.reads_succeeded += 1
         self._apply_state(_shared_state.SharedState(contents), started_ms)
 
+    def _awaits_peers(self) -> bool:
+        """Returns whether peers may know values that a restored store lacks.
+
+        Their revisions tell nothing: they may lag in the same era.
+        """
+        raw = self.platform_state.raw
+        return raw is not None and raw.contents.era > 0 and not self._heard_peer
+
     def _confirm(self, confirmed_ms: float) -> None:
         """Confirms the state, after a start only once peers could answer."""
-        raw = self.platform_state.raw
         waited_ms = self.clock.now_ms() - self._started_ms
-        if (
-            raw is not None
-            and raw.contents.era
-            and not self._heard_peer
-            and waited_ms < _PEER_ANSWER_MS
-        ):
+        if self._awaits_peers() and waited_ms < _PEER_ANSWER_MS:
             self._unconfirmed_ms = confirmed_ms
             return
         self._unconfirmed_ms = None
--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -371,3 +371,33 @@
     clock.sleep_ms(_reader._PEER_ANSWER_MS)
     reader._confirm(reader._unconfirmed_ms)
     assert platform_state.freshness.is_fresh(clock.now_ms())
+
+
+def test_new_reader_takes_what_the_copy_lacks_from_a_peer_that_lags(
+    reader, store, monkeypatch, clock
+):
+    """The peer knows the former values, at an older revision of the era."""
+    fetched = []
+    monkeypatch.setattr(reader, "_schedule_fetch", fetched.append)
+    store.contents = era(2, 40, "a")
+    reader._read()
+    reply = _messages.FreshnessReply("p", clock.now_ms(), 0.0, 36, 1, 7, 0, 2)
+    reader.handle_reply(reply, "ip")
+    assert fetched == ["ip"]
+    reader._heard_peer = True
+    reader.handle_reply(reply, "ip")
+    assert fetched == ["ip"]
+
+
+def test_new_reader_queries_peers_until_one_has_replied(
+    reader, store, monkeypatch, clock
+):
+    """A lost reply must not leave it with the copy for good."""
+    monkeypatch.setattr(reader, "_reader_names", lambda: ["me"])
+    store.contents = era(2, 40, "a", "instance-0", "instance-1")
+    reader._read()
+    reader._query_peers(clock.now_ms())
+    assert reader._peers.queried == [["instance-1"], ["instance-1"]]
+    reader._heard_peer = True
+    reader._query_peers(clock.now_ms())
+    assert len(reader._peers.queried) == 2
