--- a/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
@@ -13,6 +13,7 @@
 from hollycart_bench.soak._record import Call
 from hollycart_bench.soak._record import Fault
 from hollycart_bench.soak._record import JournalEntry
+from hollycart_bench.soak._record import LoopDelay
 from hollycart_bench.soak._record import SoakRecord
 from hollycart_bench.soak._runner import run_soak
 
@@ -22,6 +23,7 @@
     "Fault",
     "FaultProxy",
     "JournalEntry",
+    "LoopDelay",
     "SoakEngine",
     "SoakRecord",
     "check_guarantees",
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -52,8 +52,18 @@
         "work ends with its caller",
     )
 )
+# Memory of an instance, in MB, that no peer may exceed: that of the platform's
+# machines.
+_MAX_MEMORY_MB = 300.0
+_MAX_LOOP_DELAY_MS = 1000.0  # beside an engine that sends without end
 # Guarantees that are checked if enough requests were sent beside the fault.
-OPTIONAL_GUARANTEES = frozenset(("endless engines harm nobody else",))
+OPTIONAL_GUARANTEES = frozenset(
+    (
+        "endless engines harm nobody else",
+        "memory is bounded",
+        "the event loop comes round",
+    )
+)
 # Guarantees whose checks compare no times, so that a busy machine cannot change
 # the verdict.
 UNTIMED_GUARANTEES = frozenset(
@@ -120,6 +130,10 @@
         checkers["memory comes back"].check(count == 0, f"{name} holds {count}")
     _check_served_without_faults(record, checkers["served without faults"])
     _check_beside_endless_engines(record, checkers)
+    for name, memory_mb in record.peak_memory_mb.items():
+        checkers["memory is bounded"].check(
+            memory_mb <= _MAX_MEMORY_MB, f"{name} had {memory_mb:.0f} MB"
+        )
     return dict(checkers)
 
 
@@ -415,6 +429,9 @@
     others = _record.SoakRecord()
     others.faults = [f for f in record.faults if f.kind != "engine_endless"]
     for fault in endless:
+        _check_loop_delays(
+            record, fault, checkers["the event loop comes round"]
+        )
         engines = set(fault.target.split())
         touched = {
             e.request_id for e in record.journal_entries if e.engine in engines
@@ -437,6 +454,30 @@
         )
 
 
+def _check_loop_delays(
+    record: _record.SoakRecord,
+    fault: _record.Fault,
+    checker: checks.GuaranteeChecker,
+) -> None:
+    """Checks that no event loop stands still during a fault.
+
+    A freeze of the instance itself is excused.
+    """
+    frozen = [f for f in record.faults if f.kind == "freeze"]
+    late = [
+        f"{d.instance} {d.delay_ms:.0f} ms"
+        for d in record.loop_delays
+        if fault.start_ms <= d.at_ms <= fault.end_ms
+        and d.delay_ms > _MAX_LOOP_DELAY_MS
+        and not any(
+            f.target == d.instance
+            and f.start_ms <= d.at_ms <= f.end_ms + _FAULT_SETTLE_MS
+            for f in frozen
+        )
+    ]
+    checker.check(not late, f"late rounds: {late[:_MAX_SHOWN]}")
+
+
 def _is_fault_free(call: _record.Call, record: _record.SoakRecord) -> bool:
     """Returns whether no fault overlaps a request or ended shortly before."""
     return not any(
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
@@ -81,6 +81,20 @@
     end_ms: float
 
 
+class LoopDelay(NamedTuple):
+    """A late round of an instance's event loop.
+
+    Attributes:
+        instance: Name of the instance.
+        at_ms: Wall-clock time at its end, in ms.
+        delay_ms: Time by which it was late, in ms.
+    """
+
+    instance: str
+    at_ms: float
+    delay_ms: float
+
+
 class SoakRecord:
     """Everything that a run recorded.
 
@@ -99,6 +113,9 @@
         held: Number of reservations that each engine holds at the end, by id.
         direct_ms: Times to the first byte of requests sent to an engine
             directly, without an entry instance, in ms.
+        peak_memory_mb: Largest resident memory of each instance, in MB, by
+            name.
+        loop_delays: Late rounds that the instances logged.
     """
 
     def __init__(self) -> None:
@@ -111,3 +128,5 @@
         self.exits: list[tuple[str, int | None]] = []
         self.held: dict[str, int] = {}
         self.direct_ms: list[float] = []
+        self.peak_memory_mb: dict[str, float] = {}
+        self.loop_delays: list[LoopDelay] = []
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_runner.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_runner.py
@@ -90,15 +90,26 @@
 class _Balancer:
     """Chooses among the instances that were ready at the last check."""
 
-    def __init__(self, system: _system.SoakSystem, rng: random.Random) -> None:
+    def __init__(
+        self,
+        system: _system.SoakSystem,
+        record: _record.SoakRecord,
+        rng: random.Random,
+    ) -> None:
         self.system = system
+        self.record = record
         self.rng = rng
         self._ready = sorted(system.entry_instances)
 
     def run(self) -> None:
-        """Checks the readiness of all instances periodically."""
+        """Checks readiness and memory of all instances periodically."""
+        peaks = self.record.peak_memory_mb
         while True:
             names = sorted(self.system.entry_instances)
+            for name in names:
+                peaks[name] = max(
+                    peaks.get(name, 0.0), self.system.peak_memory_mb(name)
+                )
             ready = [n for n in names if self.system.is_ready(n)]
             self._ready = ready or names
             eventlet.sleep(_READINESS_INTERVAL_S)
@@ -119,7 +130,7 @@
     only: frozenset[str] | None,
 ) -> None:
     clock = base.SystemClock()
-    balancer = _Balancer(system, random.Random(rng.random()))
+    balancer = _Balancer(system, record, random.Random(rng.random()))
     caller = _caller.Caller(
         dict(system.keys),
         balancer.choose,
@@ -173,6 +184,8 @@
 
 def _collect(system: _system.SoakSystem, record: _record.SoakRecord) -> None:
     eventlet.sleep(_SETTLE_S)
+    for name in system.entry_instances:
+        record.loop_delays += system.loop_delays(name)
     for engine_id in system.engines:
         record.held[engine_id] = system.held(engine_id)
     for path in system.journals():
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -14,6 +14,7 @@
 from hollycart_bench.soak import _configuration
 from hollycart_bench.soak import _engine
 from hollycart_bench.soak import _proxy
+from hollycart_bench.soak import _record
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import http
@@ -24,6 +25,7 @@
 _READY_TIMEOUT_S = 15.0
 _EXIT_TIMEOUT_S = 5.0
 _CALL_TIMEOUT_MS = 2000.0
+_LOOP_DELAYED = '"event":"loop_delayed"'
 
 
 class _EntryInstance(NamedTuple):
@@ -241,6 +243,30 @@
         )
         return int(reply.body)
 
+    def peak_memory_mb(self, name: str) -> float:
+        """Returns the largest resident memory of an instance, in MB."""
+        pid = self.entry_instances[name].process.pid
+        try:
+            status = pathlib.Path(f"/proc/{pid}/status").read_text()
+        except OSError:
+            return 0.0  # it is not running
+        for line in status.splitlines():
+            if line.startswith("VmHWM:"):
+                return float(line.split()[1]) / 1024.0
+        return 0.0
+
+    def loop_delays(self, name: str) -> list[_record.LoopDelay]:
+        """Returns the late rounds that an instance logged."""
+        found = []
+        path = self.folder / f"{name}.log"
+        for line in path.read_text(encoding="utf-8").splitlines():
+            if _LOOP_DELAYED in line:
+                entry = msgspec.json.decode(line)
+                found.append(
+                    _record.LoopDelay(name, entry["time_ms"], entry["delay_ms"])
+                )
+        return found
+
     def plain_service_addresses(self) -> list[str]:
         """Returns the addresses of the engines of the current plain service."""
         return [
--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -235,3 +235,18 @@
         RUN._replace(request_id="beside0", engine="e-1", at_ms=41000.0)
     )
     assert "endless engines harm nobody else" not in violated(record)
+
+
+def test_instance_whose_event_loop_stands_still_or_that_grows(record):
+    record.faults.append(soak.Fault("engine_endless", "e-1", 40000.0, 50000.0))
+    record.loop_delays.append(soak.LoopDelay("n0", 45000.0, 900.0))
+    record.peak_memory_mb["n0"] = 60.0
+    assert not violated(record)
+    record.loop_delays.append(soak.LoopDelay("n0", 46000.0, 2500.0))
+    record.peak_memory_mb["n1"] = 450.0
+    assert violated(record) == {
+        "memory is bounded",
+        "the event loop comes round",
+    }
+    record.faults.append(soak.Fault("freeze", "n0", 43000.0, 45900.0))
+    assert violated(record) == {"memory is bounded"}
