Bound responses that the urllib3 client reads as a whole, and give way

The product's own interface and hollycartctl read them without a limit and without a turn for others; eventlet's timeouts did not fire while data was always ready.

--- a/packages/hollycart-core/src/hollycart_core/http/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/http/_client.py
@@ -17,6 +17,8 @@
 
 _CONNECT_TIMEOUT_MS = 1000
 _READ_BYTES = 65536
+_UNIT_BYTES = 4096  # bytes that are received in one unit of work
+_MAX_RESPONSE_BYTES = 64 << 20  # of a response that is read as a whole
 
 
 class HttpResponse(NamedTuple):
@@ -59,6 +61,7 @@
         self.status: int = response.status
         self.headers: Mapping[str, str] = response.headers
         self._read_started_s: float | None = None
+        self._work = base.WorkMeter("response")
 
     def chunks(
         self,
@@ -91,6 +94,7 @@
                 chunk = self._read_chunk()
                 if not chunk:
                     return
+                self._work.add(1 + len(chunk) // _UNIT_BYTES)
                 yield chunk
         finally:
             if watch is not None:
@@ -210,18 +214,25 @@
 
         Raises:
             EndpointUnreachableError: If no byte was sent.
-            EndpointFailedError: If the exchange failed after bytes were sent.
+            EndpointFailedError: If the exchange failed after bytes were sent,
+                or the response is too large.
             DeadlineExceededError: If the exchange took longer than
                 `timeout_ms`.
         """
         stream = self.open(method, url, body, headers, timeout_ms)
+        data = bytearray()
         try:
-            data = b"".join(stream.chunks())
+            for chunk in stream.chunks():
+                data += chunk
+                if len(data) > _MAX_RESPONSE_BYTES:
+                    raise base.EndpointFailedError(
+                        f"{url}: response exceeds {_MAX_RESPONSE_BYTES} bytes"
+                    )
         except base.HollycartError:
             stream.close()
             raise
         stream.response.release_conn()
-        return HttpResponse(stream.status, stream.headers, data)
+        return HttpResponse(stream.status, stream.headers, bytes(data))
 
     def open(
         self,
