--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -78,6 +78,8 @@
             "engine_pauses": self._engine_pauses,
             "engine_limits": self._engine_limits,
             "engine_endless": self._engine_endless,
+            "callers_endless": self._callers_endless,
+            "datagram_flood": self._datagram_flood,
             "store_restored": self._store_restored,
             "engine_leaves": self._engine_leaves,
             "engine_vanishes": self._engine_vanishes,
@@ -248,6 +250,27 @@
             self.system.set_engine_faults(engine, _engine.EngineFaults())
         return " ".join(engines)
 
+    def _callers_endless(self) -> str:
+        """Lets callers send requests without end to all instances."""
+        pool = eventlet.GreenPool()
+        for instance in self.system.entry_instances.values():
+            for kind in ("head", "body"):
+                pool.spawn_n(
+                    _endless.request_without_end,
+                    instance.cfg.front_address,
+                    kind,
+                    _PROXY_FAULT_S,
+                )
+        pool.waitall()
+        return ""
+
+    def _datagram_flood(self) -> str:
+        instance = self.system.entry_instances[self._choose_instance()]
+        _endless.send_datagrams(
+            instance.cfg.ip, instance.cfg.peer_port, _PROXY_FAULT_S
+        )
+        return ""
+
     def _simulate(self, faults: _engine.EngineFaults, seconds: float) -> str:
         """Returns the ids of the engines that simulated the faults."""
         engines = self._choose_model_engines()
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -55,11 +55,14 @@
 # Memory of an instance, in MB, that no peer may exceed: that of the platform's
 # machines.
 _MAX_MEMORY_MB = 300.0
+_ENDLESS_FAULTS = frozenset(
+    ("engine_endless", "callers_endless", "datagram_flood")
+)
 _MAX_LOOP_DELAY_MS = 1000.0  # beside an engine that sends without end
 # Guarantees that are checked if enough requests were sent beside the fault.
 OPTIONAL_GUARANTEES = frozenset(
     (
-        "endless engines harm nobody else",
+        "what has no end harms nobody else",
         "memory is bounded",
         "the event loop comes round",
     )
@@ -129,7 +132,7 @@
     for name, count in record.held.items():
         checkers["memory comes back"].check(count == 0, f"{name} holds {count}")
     _check_served_without_faults(record, checkers["served without faults"])
-    _check_beside_endless_engines(record, checkers)
+    _check_beside_endless_faults(record, checkers)
     for name, memory_mb in record.peak_memory_mb.items():
         checkers["memory is bounded"].check(
             memory_mb <= _MAX_MEMORY_MB, f"{name} had {memory_mb:.0f} MB"
@@ -417,17 +420,17 @@
     )
 
 
-def _check_beside_endless_engines(
+def _check_beside_endless_faults(
     record: _record.SoakRecord, checkers: _Checkers
 ) -> None:
-    """Checks that engines that send without end harm no other requests.
+    """Checks that what is sent without end harms no other requests.
 
-    These are the requests that did not reach such an engine, without another
-    fault nearby.
+    These are the requests that did not reach an engine at fault, without
+    another fault nearby.
     """
-    endless = [f for f in record.faults if f.kind == "engine_endless"]
+    endless = [f for f in record.faults if f.kind in _ENDLESS_FAULTS]
     others = _record.SoakRecord()
-    others.faults = [f for f in record.faults if f.kind != "engine_endless"]
+    others.faults = [f for f in record.faults if f.kind not in _ENDLESS_FAULTS]
     for fault in endless:
         _check_loop_delays(
             record, fault, checkers["the event loop comes round"]
@@ -448,9 +451,9 @@
         if len(calls) < _MIN_CALLS_BESIDE_FAULT:
             continue
         served = sum(c.complete and 200 <= c.status < 300 for c in calls)
-        checkers["endless engines harm nobody else"].check(
+        checkers["what has no end harms nobody else"].check(
             served >= _MIN_SERVED_SHARE * len(calls),
-            f"{served} of {len(calls)} served beside {fault.target}",
+            f"{served} of {len(calls)} served beside {fault.kind}",
         )
 
 
--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -230,11 +230,11 @@
                 retry_after_ms=250.0,
             )
         )
-    assert "endless engines harm nobody else" in violated(record)
+    assert "what has no end harms nobody else" in violated(record)
     record.journal_entries.append(
         RUN._replace(request_id="beside0", engine="e-1", at_ms=41000.0)
     )
-    assert "endless engines harm nobody else" not in violated(record)
+    assert "what has no end harms nobody else" not in violated(record)
 
 
 def test_instance_whose_event_loop_stands_still_or_that_grows(record):
