--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -160,6 +160,8 @@
 
     def run(self) -> None:
         """Serves requests until the connection ends."""
+        if self._sock is None:
+            return  # the server was closed before this thread started
         self._thread = eventlet.getcurrent()
         try:
             while self._serve_one():
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
@@ -1,10 +1,12 @@
 import socket
 
 import eventlet
+from eventlet import greenio
 from eventlet.green import socket as green_socket
 import pytest
 
 from hollycart_core import connections
+from hollycart_core.connections import _server
 
 
 @pytest.fixture
@@ -141,3 +143,14 @@
         assert received.endswith(b"done")
         assert b"connection: close" in received.lower()
         sock.close()
+
+
+def test_connection_whose_thread_starts_after_the_close_ends_silently(
+    start_server,
+):
+    server = start_server(lambda exchange: exchange.respond(200, (), b""))
+    ours, theirs = socket.socketpair()
+    conn = _server._ServerConnection(server, greenio.GreenSocket(ours))
+    conn.terminate()
+    conn.run()
+    theirs.close()
