--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -163,6 +163,8 @@
 
     def _reload(self) -> str:
         name = self._choose_instance()
+        # The interpreter ends at the signal before it runs any code of ours.
+        self.system.wait_ready(name)
         instance = self.system.entry_instances[name]
         cfg = instance.cfg._replace(retry_slack=instance.cfg.retry_slack - 10.0)
         instance.path.write_text(hollycart_standins.encode_settings(cfg))
