Merge former values of a peer that lags in the same era

The contents stay the newer ones; the peer's former values and the start of the era count. The test failed before; the property tests of exchanges pass.

--- a/packages/hollycart/src/hollycart/gateway/_history.py
+++ b/packages/hollycart/src/hollycart/gateway/_history.py
@@ -110,16 +110,21 @@
                 era of `contents`; None for a read of the store.
 
         Returns:
-            The newest state; None if `contents` are older than it.
+            The newest state; None if `contents` are older than it and bring no
+            former value that was not known.
         """
         current = self.raw
+        former = tuple(former)
+        lags = False
         starts = [contents.revision]
         if era_start is not None:
             starts.append(era_start)
         candidates: dict[str, FormerValue] = {}
         if current is not None:
             if contents.position < current.contents.position:
-                return None
+                if not former or contents.era != current.contents.era:
+                    return None
+                lags, contents = True, current.contents
             if contents.era == current.contents.era:
                 starts.append(current.era_start)
                 candidates = {f.item.key: f for f in current.former}
@@ -130,13 +135,16 @@
             known = candidates.get(value.item.key)
             if known is None or known.item.position < value.item.position:
                 candidates[value.item.key] = value
-        self.raw = _make_raw_state(
+        raw = _make_raw_state(
             contents,
             self._select(candidates, contents, min(starts)),
             min(starts),
             self.order.is_registration,
         )
-        return self.raw
+        if lags and current is not None and raw.digest == current.digest:
+            return None
+        self.raw = raw
+        return raw
 
     def _record_deletions(
         self, current: RawState, contents: kv.RangeResult
--- a/packages/hollycart/src/hollycart/gateway/tests/test_history.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_history.py
@@ -159,3 +159,19 @@
                 one.update(raw.contents, raw.former, raw.era_start)
     assert len({i.raw.digest for i in seen}) <= 1
     assert len({str(merged(i.raw)) for i in seen}) <= 1
+
+
+def test_former_values_of_a_peer_that_lags_in_the_same_era_count(history):
+    """The peer has not read the registrations since the store came back."""
+    peer = _history.StoreHistory(Order())
+    peer.update(read(1, 100, config=(b"7", 60)))
+    lagging = peer.update(read(2, 50, config=(b"5", 40)))
+    copy = {"config": (b"5", 40), "instance-9": (b"0", 53)}
+    history.update(read(2, 53, **copy))
+    raw = history.update(lagging.contents, lagging.former, lagging.era_start)
+    assert raw.contents.revision == 53
+    assert merged(raw)["config"] == (b"7", 1)
+    assert "instance-9" in merged(raw)
+    # Nothing new comes from it after that.
+    again = history.update(lagging.contents, lagging.former, lagging.era_start)
+    assert again is None
