Let instances that all drain agree on one grantor of permits

Found in the last read: staying() returned only the own name if all instances were draining, so that each of them granted the permits of every endpoint: six grantors instead of one after a SIGTERM to all. Its text says 'all of them if all are draining', which it does now. The new test failed before.

--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -259,9 +259,9 @@
         """
         live = self.live()
         names = [n for n in live if not self._peers[n].draining]
-        if not self.draining or not names:
+        if not self.draining:
             names.append(self.name)
-        return names
+        return names or [self.name, *live]
 
     def drain(self) -> None:
         """Announces that this instance is about to stop."""
--- a/packages/hollycart/src/hollycart/gateway/tests/test_limits.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_limits.py
@@ -408,6 +408,14 @@
     assert fleet.excess("e0") <= 0.0
 
 
+def test_instances_that_all_drain_agree_on_one_grantor(plain_codec, config):
+    fleet = Fleet(plain_codec, config, 6, endpoints=1)
+    for instance in fleet.instances:
+        instance.peers.drain()
+    grantors = {fleet.grantor("e0", i).name for i in fleet.instances}
+    assert len(grantors) == 1
+
+
 @pytest.mark.parametrize("instances", [4, 30])
 def test_limit_is_kept_while_datagrams_are_lost(plain_codec, config, instances):
     fleet = Fleet(plain_codec, config, instances, endpoints=2)
