Log fingerprints of requests, and crashes of engines without prompts

The log could not tell whether the requests under which engines crashed were the same, nor that an engine without prompts had crashed while an attempt ran there. `placed` names a digest of method, host, target, team and body; `engine_crashed` is written for engines of every kind. Nothing acts on either yet. The tests of core, gateway and hollycartctl pass (659).

--- a/packages/hollycart/src/hollycart/gateway/_admission.py
+++ b/packages/hollycart/src/hollycart/gateway/_admission.py
@@ -6,6 +6,7 @@
 
 from hollycart.gateway import _codec
 from hollycart.gateway import _failures
+from hollycart.gateway import _fingerprint
 from hollycart.gateway import _job
 from hollycart.gateway import _state
 from hollycart_core import base
@@ -89,7 +90,15 @@
             caller_timeout_ms, route.timeout_ms
         )
         return _job.AdmittedRequest(
-            exchange, meta, route, service, team, deadline_ms
+            exchange,
+            meta,
+            route,
+            service,
+            team,
+            deadline_ms,
+            _fingerprint.fingerprint(
+                exchange.head, meta.host, exchange.body, team
+            ),
         )
 
     def _check_draining(self, route: routing.Route) -> None:
--- a/packages/hollycart/src/hollycart/gateway/_crash_watch.py
+++ b/packages/hollycart/src/hollycart/gateway/_crash_watch.py
@@ -68,8 +68,6 @@
         chosen: placement.Placement,
     ) -> None:
         """Records that the calling green thread sends an attempt now."""
-        if not chosen.assignments:
-            return
         self._attempts.start(
             attempt_id,
             crashes.TrackedAttempt(
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -534,6 +534,7 @@
                 round(self.platform_state.freshness.age_ms(now_ms), 1),
                 sum(r.tokens for r in chosen.reservations),
                 request.meta.shared_segments,
+                request.fingerprint,
             )
         )
 
--- a/packages/hollycart/src/hollycart/gateway/_job.py
+++ b/packages/hollycart/src/hollycart/gateway/_job.py
@@ -19,6 +19,7 @@
         service: Service that the request is sent to.
         team: Team that is billed; None on public routes.
         deadline_ms: Instant at which the caller's or the route's timeout ends.
+        fingerprint: Digest by which it is recognised if it is sent again.
     """
 
     exchange: connections.Exchange
@@ -27,6 +28,7 @@
     service: routing.Service
     team: routing.Team | None
     deadline_ms: float
+    fingerprint: str = ""
 
 
 class Progress:
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -28,6 +28,8 @@
         age_ms: Age of the state.
         reserved_tokens: Memory reserved before the request is sent, in tokens.
         segments: Ids of the segments that the prompt shares with others.
+        fingerprint: Digest of the request, the same each time that its caller
+            sends it again.
     """
 
     request: str
@@ -41,6 +43,7 @@
     age_ms: float
     reserved_tokens: int
     segments: tuple[str, ...] = ()
+    fingerprint: str = ""
 
 
 class FirstEvent(Decision, tag="first_event"):
@@ -188,7 +191,7 @@
 
 
 class EngineCrashed(Decision, tag="engine_crashed"):
-    """A model engine with attempts of this instance refuses connections.
+    """An engine with attempts of this instance refuses connections.
 
     Attributes:
         endpoint: Id of the engine.
