--- a/packages/hollycart/src/hollycart/gateway/tests/crashing_fleet.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/crashing_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet in virtual time whose engines crash on some prompts."""
+"""A fleet in virtual time whose engines crash on some requests."""
 
 import random
 import types
@@ -21,6 +21,8 @@
 RESTART_MS = 4000.0
 LIST_LAG_MS = 400.0
 TICK_MS = 20.0
+PLAIN_MS = 90.0  # run of a request without a prompt
+PROMPT_TOKENS = 5000
 
 
 class Engine:
@@ -53,12 +55,19 @@
         if not engine.alive:
             progress.possible_executions -= 1
             raise base.NotExecutedError("another incarnation", 250.0)
-        self.wait(engine, PREFILL_MS)
-        if fleet.crashing & set(segments):
+        is_prompt = bool(chosen.assignments)
+        if is_prompt:
+            self.wait(engine, PREFILL_MS)
+        if fleet.crashing & {*segments, request.exchange.body}:
             self.wait(engine, CRASH_AFTER_MS)
             fleet.crash(engine, sent)
             self.wait(engine, 0.0)
         sent.began = True
+        if not is_prompt:
+            self.wait(engine, PLAIN_MS)
+            progress.status = 200
+            request.exchange.respond(200, (), b"")
+            return
         recorder.on_event()
         for _ in range(int(DECODE_MS / EVENT_MS)):
             self.wait(engine, EVENT_MS)
@@ -81,6 +90,7 @@
         self.at_ms = at_ms
         self.request_id = request.meta.request_id
         self.segments = request.meta.shared_segments
+        self.body = request.exchange.body
         self.endpoint = chosen.endpoint.id
         self.instance = instance
         self.began = False
@@ -90,7 +100,7 @@
     """Instances in front of engines that crash and come back.
 
     Attributes:
-        crashing: Segments on which engines crash now.
+        crashing: Segments and bodies on which engines crash now.
         crashes: Instant and attempt of each crash that a prompt caused.
         calls: Exchange, segments and instant of each call.
     """
@@ -219,12 +229,18 @@
         self.start_engine(number)
         self.publish_later(LIST_LAG_MS)
 
-    def call(self, segments, instance=None):
+    def call(self, segments, instance=None, path="/stream/", body=None):
+        """Sends a request; it has a prompt if it has segments."""
         running = [n for n in self.instances if n not in self.stopped]
         name = instance or self.rng.choice(running)
         now_ms = self.clock.now_ms()
         exchange = virtual.Exchange(
-            "/stream/", f"r{len(self.calls)}", now_ms, 5000, ",".join(segments)
+            path,
+            f"r{len(self.calls)}",
+            now_ms,
+            PROMPT_TOKENS if segments else 0,
+            ",".join(segments),
+            b"%d" % len(self.calls) if body is None else body,
         )
         self.calls.append((exchange, segments, now_ms))
         eventlet.spawn(self.handle, self.instances[name], exchange)
@@ -234,7 +250,7 @@
         instance.forwarder.handle(exchange)
         exchange.ended_ms = self.clock.now_ms()
 
-    def load(self, per_s, make_segments, seconds):
+    def load(self, per_s, make_segments, seconds, **kwargs):
         """Sends requests at random instants from now on."""
         end_ms = self.clock.now_ms() + seconds * 1000.0
 
@@ -243,7 +259,7 @@
                 self.clock.sleep_ms(self.rng.expovariate(per_s) * 1000.0)
                 if self.clock.now_ms() >= end_ms:
                     return
-                self.call(make_segments())
+                self.call(make_segments(), **kwargs)
 
         eventlet.spawn(send)
 
@@ -268,6 +284,33 @@
             if segment in s.segments and s.at_ms > since_ms
         ]
 
+    def late_repeats(self, body):
+        """Returns the sends of a request that the users' rule counts."""
+        crashed_ms = [
+            at_ms for at_ms, sent in self.crashes if sent.body == body
+        ]
+        if len(crashed_ms) < 3:
+            return []
+        since_ms = crashed_ms[2] + CONTACT_MS
+        return [s for s in self.sends if s.body == body and s.at_ms > since_ms]
+
+    def share_answered(self, since_ms, until_ms, body=None):
+        """Returns the share of sound calls that are answered.
+
+        Args:
+            since_ms: Instant from which calls count.
+            until_ms: Instant until which they count.
+            body: Body that the calls must have; None for any.
+        """
+        answered = [
+            exchange.status == 200
+            for exchange, segments, at_ms in self.calls
+            if since_ms <= at_ms < until_ms
+            and not self.crashing & {*segments, exchange.body}
+            and body in (None, exchange.body)
+        ]
+        return sum(answered) / len(answered)
+
     def share_begun(self, since_ms, until_ms, has=frozenset()):
         """Returns the share of sound calls that begin at their first attempt.
 
--- a/packages/hollycart/src/hollycart/gateway/tests/virtual.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/virtual.py
@@ -106,7 +106,7 @@
     response_started = False
     ended_ms = None
 
-    def __init__(self, path, request_id, now_ms, tokens, segments=""):
+    def __init__(self, path, request_id, now_ms, tokens, segments="", body=b""):
         fields = [(b"Id", request_id.encode()), (b"Key", b"key-a")]
         if tokens:
             fields.append((b"Tokens", str(tokens).encode()))
@@ -115,7 +115,7 @@
         self.head = connections.RequestHead(
             b"POST", path.encode(), tuple(fields)
         )
-        self.body = b""
+        self.body = body
         self.received_ms = now_ms
         self.status = 0
         self.headers = ()
