--- a/packages/hollycart-core/src/hollycart_core/base/_errors.py
+++ b/packages/hollycart-core/src/hollycart_core/base/_errors.py
@@ -155,9 +155,9 @@
 
 
 class QuarantinedError(HollycartError):
-    """The prompt has a segment on which engines crash; it was not executed."""
+    """The request has a trait on which engines crash; it was not executed."""
 
-    code = "prompt_quarantined"
+    code = "quarantined"
     http_status = 503
 
 
--- a/packages/hollycart-core/src/hollycart_core/crashes/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/__init__.py
@@ -1,4 +1,4 @@
-"""Finds the segments of prompts that crash engines, and keeps them away."""
+"""Finds the traits of requests that crash engines, and keeps them away."""
 
 from hollycart_core.crashes._attempt_log import ONSET_MS
 from hollycart_core.crashes._attempt_log import AttemptLog
@@ -6,10 +6,12 @@
 from hollycart_core.crashes._crash_history import SETTLE_MS
 from hollycart_core.crashes._crash_history import CrashHistory
 from hollycart_core.crashes._crash_history import Culprit
+from hollycart_core.crashes._quarantine import Quarantine
 from hollycart_core.crashes._quarantine import QuarantineEntry
-from hollycart_core.crashes._quarantine import SegmentQuarantine
 from hollycart_core.crashes._types import EngineCrash
 from hollycart_core.crashes._types import SuspectAttempt
+from hollycart_core.crashes._types import is_request_trait
+from hollycart_core.crashes._types import request_trait
 
 __all__ = [
     "ONSET_MS",
@@ -19,7 +21,9 @@
     "Culprit",
     "EngineCrash",
     "QuarantineEntry",
-    "SegmentQuarantine",
+    "Quarantine",
     "SuspectAttempt",
     "TrackedAttempt",
+    "is_request_trait",
+    "request_trait",
 ]
--- a/packages/hollycart-core/src/hollycart_core/crashes/_attempt_log.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/_attempt_log.py
@@ -20,15 +20,16 @@
 
 
 class TrackedAttempt(NamedTuple):
-    """An attempt at a prompt.
+    """An attempt at a request.
 
     Attributes:
         endpoint: Id of the engine that decodes the answer.
         born_ms: Start of the engine's incarnation; 0 if unknown.
         service: Service of the engine.
-        segments: Ids of the segments that the prompt shares with others.
+        traits: Traits of the request.
         sent_ms: Instant at which the attempt was sent.
-        prefill_ms: Predicted time to the first event, in ms.
+        prefill_ms: Predicted time to the first event, in ms; 0 without a
+            prompt.
         first_event_ms: Instant of the first event; None before it.
         cut_ms: Instant at which the engine broke off; None before it.
         is_sound: Whether it has been in decode for so long that it does not
@@ -38,7 +39,7 @@
     endpoint: str
     born_ms: int
     service: str
-    segments: tuple[str, ...]
+    traits: tuple[str, ...]
     sent_ms: float
     prefill_ms: float
     first_event_ms: float | None = None
@@ -48,8 +49,9 @@
     def may_have_crashed(self, at_ms: float) -> bool:
         """Returns whether the attempt may have crashed its engine.
 
-        Only the start of the decode can: the attempt has been prefilled, and
-        has not been in decode for long.
+        Of a prompt only the start of the decode can: it has been prefilled,
+        and has not been in decode for long. Other requests may at any time
+        before their answer.
 
         Args:
             at_ms: Instant of the crash.
@@ -67,7 +69,7 @@
         >>> log.start("a", TrackedAttempt("e", 0, "s", ("f", "p"), 10.0, 40.0))
         >>> log.cut("a", 100.0)
         >>> log.collect("e", 105.0).suspects
-        (SuspectAttempt(attempt_id='a', segments=('f', 'p'), sent_ms=10.0),)
+        (SuspectAttempt(attempt_id='a', traits=('f', 'p'), sent_ms=10.0),)
     """
 
     def __init__(self) -> None:
@@ -110,16 +112,16 @@
         return attempt
 
     def waiting(
-        self, service: str, segments: Collection[str]
+        self, service: str, traits: Collection[str]
     ) -> list[tuple[str, TrackedAttempt]]:
-        """Returns the attempts without an event that contain all segments."""
+        """Returns the attempts without an event that have all traits."""
         return [
             (attempt_id, a)
             for attempt_id, a in self._attempts.items()
             if a.service == service
             and a.first_event_ms is None
             and a.cut_ms is None
-            and set(segments).issubset(a.segments)
+            and set(traits).issubset(a.traits)
         ]
 
     def has_crashed(self, endpoint: str, now_ms: float) -> bool:
@@ -168,9 +170,9 @@
             attempts[0].service,
             at_ms,
             tuple(
-                _types.SuspectAttempt(attempt_id, a.segments, a.sent_ms)
+                _types.SuspectAttempt(attempt_id, a.traits, a.sent_ms)
                 for attempt_id, a in found.items()
-                if a.segments and a.may_have_crashed(a.cut_ms or at_ms)
+                if a.traits and a.may_have_crashed(a.cut_ms or at_ms)
             ),
         )
 
--- a/packages/hollycart-core/src/hollycart_core/crashes/_crash_history.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/_crash_history.py
@@ -1,94 +1,93 @@
-"""Crashes and successes of late, and the segments that explain the crashes."""
+"""Crashes and successes of late, and the traits that explain the crashes."""
 
 import collections
 from collections.abc import Collection
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from hollycart_core.crashes import _answer_log
 from hollycart_core.crashes import _attempt_log
 from hollycart_core.crashes import _types
 
 # Crashes one after the other, each by a prompt that was sent after the crash
-# before, from which a segment that all of these prompts share is a culprit: one
+# before, from which a trait that all of these requests share is a culprit: one
 # that was never answered, and one that was answered earlier.
 _MIN_GENERATIONS = 3
-# The same while another segment without an answer explains as much, and while
-# no answer of the service is known: then nothing tells the cause from a segment
-# that all prompts share.
+# The same for segments while another one without an answer explains as much,
+# and while no answer of the service is known: then nothing tells the cause from
+# a segment that all prompts share.
 _MIN_GENERATIONS_UNCLEAR = 5
 _MIN_GENERATIONS_ANSWERED = 4
-# Time that the crashes of a segment that was answered earlier have to span, in
+# Time that the crashes of a trait that was answered earlier have to span, in
 # ms. While engines restart one after the other, nothing is answered for some
 # time, and the same prompts are cut off again and again.
 _MIN_SPAN_ANSWERED_MS = 1500.0
 # Age from which a crash counts, in ms: by then the instances have told each
 # other of the attempts that ran there.
 SETTLE_MS = 100.0
-# Share of the service's answers above which a segment is no culprit: without it
+# Share of the service's answers above which a trait is no culprit: without it
 # the service would answer hardly anything. It is known from so many answers on.
 _MAX_ANSWER_SHARE = 0.5
 _MIN_ANSWERS = 10
 # Share of the latest crashes of the service that a culprit has to explain; a
 # burst of others counts as one. Below it engines crash for other reasons, and
-# their prompts are victims.
+# their requests are victims. A verdict on a whole request affects no other.
 _MIN_EXPLAINED_SHARE = 0.4
-# Time before the first crash of a segment from which crashes count as the
+_MIN_EXPLAINED_SHARE_REQUEST = 0.1
+# Time before the first crash of a trait from which crashes count as the
 # latest ones, in ms.
 _LOOKBACK_MS = 30_000.0
 # Crashes that are no further apart are one burst: engines that lose power
 # together, for example.
 _BURST_GAP_MS = 250.0
 _RETENTION_MS = 120_000.0
-# A segment that no answer has contained for this long counts as never served:
-# what a crash says about it weighs more than that.
-_SUCCESS_RETENTION_MS = 300_000.0
-# Segments in common that are kept of a culprit, to bound its size.
-_MAX_COMMON_SEGMENTS = 16
+# Traits in common that are kept of a culprit, to bound its size.
+_MAX_COMMON_TRAITS = 16
 _MAX_CRASHES = 256
-_MAX_SUCCESSES = 4096
 
 
 class Culprit(NamedTuple):
-    """A segment that explains crashes of engines.
+    """A trait that explains crashes of engines.
 
     Attributes:
         service: Service of the engines.
-        segment: Id of the segment.
-        segments: Ids of all segments that the prompts had in common, and that
-            no sound answer has contained since; with `segment`.
+        trait: Id of the trait.
+        traits: All traits that the requests had in common, and that no sound
+            answer has had since; with `trait`.
         generations: Number of crashes one after the other.
         last_crash_ms: Instant of the last one.
-        is_clear: Whether it was never answered, and no other segment without
-            an answer explains as much.
+        is_clear: Whether it was never answered, and no other trait of its kind
+            without an answer explains as much.
     """
 
     service: str
-    segment: str
-    segments: frozenset[str]
+    trait: str
+    traits: frozenset[str]
     generations: int
     last_crash_ms: float
     is_clear: bool
 
 
-class _Success(NamedTuple):
-    answers: int
-    began_ms: float
-
-
 class CrashHistory:
-    """Finds the segments that explain crashes of engines.
+    """Finds the traits that explain crashes of engines.
 
     The load it answers: a few requests a second contain a segment on which each
-    engine crashes that starts to decode, beside sound requests that share the
-    other segments and run at the same engines.
+    engine crashes that starts to decode, or are one request that is sent again
+    and again, beside sound requests that share the other traits and run at the
+    same engines.
 
-    One crash makes all prompts there suspects. A segment is a culprit only
-    after several crashes, each by a prompt sent after the one before, with no
-    sound answer since the first. Segments without earlier answers, then those
+    One crash makes all requests there suspects. A trait is a culprit only
+    after several crashes, each by a request sent after the one before, with no
+    sound answer since the first. Traits without earlier answers, then those
     with few, are held responsible first, of these the one that explains most;
-    what it explains does not count against the others. A crash that a segment
+    what it explains does not count against the others. A crash that a trait
     without any answer may have caused does not count against one with answers,
-    if that segment is also in another crash.
+    if that trait is also in another crash.
+
+    A segment is no culprit if the crashes that count against it are all by one
+    request: then that request is. Crashes that whole requests explain count
+    against their segments all the same, so that the segment is found when
+    another request with it crashes an engine.
 
     Example:
         >>> history = CrashHistory()
@@ -102,14 +101,14 @@
         ...     _ = history.record_crash(crash)
         >>> history.record_success("s", "f", 450.0)
         True
-        >>> [c.segment for c in history.find_culprits("s", (), 900.0)]
+        >>> [c.trait for c in history.find_culprits("s", (), 900.0)]
         ['p']
     """
 
     def __init__(self) -> None:
         self._crashes: list[_types.EngineCrash] = []
-        self._successes: dict[tuple[str, str], _Success] = {}
-        self._answers: collections.Counter[str] = collections.Counter()
+        self._answers = _answer_log.AnswerLog()
+        self._answer_counts: collections.Counter[str] = collections.Counter()
 
     def record_crash(self, crash: _types.EngineCrash) -> bool:
         """Records a crash, or what another instance adds to a known one.
@@ -127,45 +126,39 @@
         return True
 
     def count_answer(self, service: str) -> None:
-        """Counts an answer of this instance, whatever its segments."""
-        self._answers[service] += 1
+        """Counts an answer of this instance, whatever its traits."""
+        self._answer_counts[service] += 1
 
     def record_success(
-        self, service: str, segment: str, began_ms: float, answers: int = 1
+        self, service: str, trait: str, began_ms: float, answers: int = 1
     ) -> bool:
-        """Records that an engine decoded an answer to a prompt.
+        """Records a sound answer.
 
         Args:
             service: Service of the engine.
-            segment: A segment of the prompt.
-            began_ms: Instant of the first event.
+            trait: A trait of the request.
+            began_ms: Instant of the first event; of an answer without events,
+                the instant at which the request was sent.
             answers: Number of answers; zero for one that another instance
                 reports, perhaps again.
 
         Returns:
             Whether it is later than what was known.
         """
-        key = (service, segment)
-        known = self._successes.pop(key, _Success(0, float("-inf")))
-        self._successes[key] = _Success(
-            known.answers + answers, max(known.began_ms, began_ms)
-        )
-        if len(self._successes) > _MAX_SUCCESSES:
-            del self._successes[next(iter(self._successes))]
-        return began_ms > known.began_ms
+        return self._answers.record(service, trait, began_ms, answers)
 
-    def last_success_ms(self, service: str, segment: str) -> float | None:
-        """Returns the start of the latest known answer with a segment."""
-        known = self._successes.get((service, segment))
+    def last_success_ms(self, service: str, trait: str) -> float | None:
+        """Returns the start of the latest known answer with a trait."""
+        known = self._answers.find(service, trait)
         return known.began_ms if known else None
 
     def services(self) -> set[str]:
         """Returns the services whose engines have crashed."""
         return {c.service for c in self._crashes}
 
-    def implicates(self, service: str, segment: str) -> bool:
-        """Returns whether a crash counts against a segment."""
-        return bool(self._run(segment, self._of_service(service)))
+    def implicates(self, service: str, trait: str) -> bool:
+        """Returns whether a crash counts against a trait."""
+        return bool(self._run(trait, self._of_service(service)))
 
     def remove_old(self, now_ms: float) -> None:
         """Removes what is too old to count."""
@@ -175,18 +168,16 @@
             if now_ms - c.at_ms <= _LOOKBACK_MS
             or (now_ms - c.at_ms <= _RETENTION_MS and self._speaks_against(c))
         ]
-        for name, success in list(self._successes.items()):
-            if now_ms - success.began_ms > _SUCCESS_RETENTION_MS:
-                del self._successes[name]
+        self._answers.remove_old(now_ms)
 
     def find_culprits(
         self, service: str, known: Collection[str], now_ms: float
     ) -> list[Culprit]:
-        """Returns the segments that explain crashes, beside known ones.
+        """Returns the traits that explain crashes, beside known ones.
 
         Args:
             service: Service of the engines.
-            known: Segments that are known to crash them.
+            known: Traits that are known to crash them.
             now_ms: Current instant.
         """
         crashes = [
@@ -194,65 +185,66 @@
             for c in self._of_service(service)
             if now_ms - c.at_ms >= SETTLE_MS
         ]
-        unexplained = _without(crashes, known)
-        is_any_answered = any(s == service for s, _ in self._successes)
+        unexplained = _Unexplained.of(crashes, known)
+        is_any_answered = self._answers.has_service(service)
         culprits = []
-        for segment in self._by_trust(service, unexplained):
-            run = self._run(segment, unexplained)
-            generations = _count_generations(segment, run)
-            if generations < _MIN_GENERATIONS:
+        for trait in self._by_trust(service, unexplained):
+            left = unexplained.by(trait)
+            run = self._run(trait, left)
+            generations = _count_generations(trait, run)
+            if generations < _MIN_GENERATIONS or _is_one_request(trait, run):
                 continue
-            common = self._common_segments(segment, run)
-            was_answered = self._is_answered(service, segment)
-            if was_answered and not self._is_dispensable(service, segment):
+            common = self._common_traits(trait, run)
+            was_answered = self._is_answered(service, trait)
+            if was_answered and not self._is_dispensable(service, trait):
                 continue
             is_clear = (
                 not was_answered
                 and is_any_answered
-                and not self._has_rival(service, common, run)
+                and not self._has_rival(service, trait, common, run)
             )
-            if not _is_conclusive(generations, run, was_answered, is_clear):
+            if not _is_conclusive(
+                trait, generations, run, was_answered, is_clear
+            ):
                 continue
             since_ms = run[0].at_ms - _LOOKBACK_MS
-            others = [
-                c for c in unexplained if c.at_ms >= since_ms and c not in run
-            ]
+            others = [c for c in left if c.at_ms >= since_ms and c not in run]
             all_count = generations + _count_bursts(others)
-            if generations < _MIN_EXPLAINED_SHARE * all_count:
+            if generations < _min_explained_share(trait) * all_count:
                 continue
             culprits.append(
                 Culprit(
                     service,
-                    segment,
+                    trait,
                     common,
                     generations,
                     run[-1].at_ms,
                     is_clear,
                 )
             )
-            unexplained = _without(unexplained, (segment,))
+            unexplained = unexplained.without(trait)
         return culprits
 
     def suspicion(
-        self, service: str, segments: Sequence[str], known: Collection[str]
+        self, service: str, traits: Sequence[str], known: Collection[str]
     ) -> int:
-        """Returns how many crashes speak against a prompt.
+        """Returns how many crashes speak against a request.
 
         Args:
             service: Service of the engines.
-            segments: Shared segments of the prompt.
-            known: Segments that are known to crash engines; what they explain
+            traits: Traits of the request.
+            known: Traits that are known to crash engines; what they explain
                 does not count.
 
         Returns:
             The most generations of crashes since the last sound answer, over
-            the segments; one less for those that were answered earlier.
+            the traits; one less for those that were answered earlier.
         """
         unexplained = _without(self._of_service(service), known)
         most = 0
-        for segment in segments:
-            count = _count_generations(segment, self._run(segment, unexplained))
-            if self.last_success_ms(service, segment) is not None:
+        for trait in traits:
+            count = _count_generations(trait, self._run(trait, unexplained))
+            if self.last_success_ms(service, trait) is not None:
                 count -= 1
             most = max(most, count)
         return most
@@ -269,8 +261,8 @@
         )
 
     def _speaks_against(self, crash: _types.EngineCrash) -> bool:
-        """Returns whether a crash counts against some segment."""
-        return any(self._counts(s, crash) for s in _segments_of(crash))
+        """Returns whether a crash counts against some trait."""
+        return any(self._counts(s, crash) for s in _traits_of(crash))
 
     def _of_service(self, service: str) -> list[_types.EngineCrash]:
         return sorted(
@@ -278,104 +270,147 @@
             key=lambda c: c.at_ms,
         )
 
-    def _counts(self, segment: str, crash: _types.EngineCrash) -> bool:
-        success_ms = self.last_success_ms(crash.service, segment)
+    def _counts(self, trait: str, crash: _types.EngineCrash) -> bool:
+        success_ms = self.last_success_ms(crash.service, trait)
         return success_ms is None or crash.at_ms > success_ms
 
     def _run(
-        self, segment: str, crashes: Sequence[_types.EngineCrash]
+        self, trait: str, crashes: Sequence[_types.EngineCrash]
     ) -> list[_types.EngineCrash]:
-        """Returns the crashes that count against a segment."""
+        """Returns the crashes that count against a trait."""
         run = [
             c
             for c in crashes
-            if _is_suspected(segment, c) and self._counts(segment, c)
+            if _is_suspected(trait, c) and self._counts(trait, c)
         ]
-        if not run or not self._is_answered(run[0].service, segment):
+        if not run or not self._is_answered(run[0].service, trait):
             return run
-        unanswered = self._repeated_unanswered(crashes)
-        return [c for c in run if unanswered.isdisjoint(_segments_of(c))]
+        unanswered = self._repeated_unanswered(trait, crashes)
+        return [c for c in run if unanswered.isdisjoint(_traits_of(c))]
 
-    def _is_dispensable(self, service: str, segment: str) -> bool:
-        """Returns whether most answers are known to be without a segment."""
-        answers = self._answers[service]
-        known = self._successes[service, segment]
+    def _is_dispensable(self, service: str, trait: str) -> bool:
+        """Returns whether most answers are known to be without a trait."""
+        answers = self._answer_counts[service]
+        known = self._answers.find(service, trait)
         return (
-            answers >= _MIN_ANSWERS
-            and known.answers <= _MAX_ANSWER_SHARE * answers
+            known is not None
+            and answers >= _MIN_ANSWERS
+            and known.own <= _MAX_ANSWER_SHARE * answers
         )
 
     def _repeated_unanswered(
-        self, crashes: Sequence[_types.EngineCrash]
+        self, trait: str, crashes: Sequence[_types.EngineCrash]
     ) -> set[str]:
-        """Returns the segments without an answer that are in several crashes.
+        """Returns the traits without an answer that are in several crashes.
 
         Segments of one prompt only, such as that of its document, are in one.
+
+        Args:
+            trait: Trait that may be the culprit instead. Retries put whole
+                requests into several crashes, which clears no segment.
+            crashes: The crashes.
         """
         counts = collections.Counter(
             s
             for crash in crashes
-            for s in _segments_of(crash)
+            for s in _traits_of(crash)
             if not self._is_answered(crash.service, s)
+            and (
+                _types.is_request_trait(trait) or not _types.is_request_trait(s)
+            )
         )
         return {s for s, count in counts.items() if count > 1}
 
     def _has_rival(
         self,
         service: str,
-        segments: Collection[str],
+        trait: str,
+        common: Collection[str],
         run: Sequence[_types.EngineCrash],
     ) -> bool:
-        """Returns whether a segment without an answer explains a whole run.
+        """Returns whether another trait without an answer explains a whole run.
 
         Args:
             service: Service of the engines.
-            segments: Segments that are no rivals.
+            trait: The trait; rivals are of its kind.
+            common: Traits that are no rivals.
             run: The crashes.
         """
-        rivals = _segments_of(run[0])
+        rivals = _traits_of(run[0])
         return any(
             not self._is_answered(service, rival)
+            and _types.is_request_trait(rival) == _types.is_request_trait(trait)
             and all(_is_suspected(rival, crash) for crash in run)
-            for rival in rivals.difference(segments)
+            for rival in rivals.difference(common)
         )
 
-    def _is_answered(self, service: str, segment: str) -> bool:
-        return (service, segment) in self._successes
+    def _is_answered(self, service: str, trait: str) -> bool:
+        return self._answers.find(service, trait) is not None
 
-    def _by_trust(
-        self, service: str, crashes: Sequence[_types.EngineCrash]
-    ) -> list[str]:
-        """Returns the suspected segments, the least trusted first."""
+    def _by_trust(self, service: str, unexplained: "_Unexplained") -> list[str]:
+        """Returns the suspected traits, the least trusted first."""
         uses: dict[str, int] = {}
-        for crash in crashes:
+        for crash in unexplained.by_segments:
             for suspect in crash.suspects:
-                for segment in suspect.segments:
-                    uses[segment] = uses.get(segment, 0) + 1
+                for trait in suspect.traits:
+                    uses[trait] = uses.get(trait, 0) + 1
 
-        def trust(segment: str) -> tuple[int, int, int, str]:
-            known = self._successes.get((service, segment))
+        def trust(trait: str) -> tuple[int, int, int, str]:
+            known = self._answers.find(service, trait)
             return (
-                known.answers + 1 if known else 0,
-                -len(self._run(segment, crashes)),
-                uses[segment],
-                segment,
+                known.own + 1 if known else 0,
+                -len(self._run(trait, unexplained.by(trait))),
+                uses[trait],
+                trait,
             )
 
         return sorted(uses, key=trust)
 
-    def _common_segments(
-        self, segment: str, run: Sequence[_types.EngineCrash]
+    def _common_traits(
+        self, trait: str, run: Sequence[_types.EngineCrash]
     ) -> frozenset[str]:
         prompts = [
-            frozenset(s.segments)
+            frozenset(s.traits)
             for crash in run
             for s in crash.suspects
-            if segment in s.segments
+            if trait in s.traits
         ]
-        common = frozenset.intersection(*prompts) - {segment}
+        common = frozenset.intersection(*prompts) - {trait}
         unanswered = sorted(s for s in common if self._counts(s, run[0]))
-        return frozenset((segment, *unanswered[: _MAX_COMMON_SEGMENTS - 1]))
+        return frozenset((trait, *unanswered[: _MAX_COMMON_TRAITS - 1]))
+
+
+class _Unexplained(NamedTuple):
+    """Crashes without an explanation.
+
+    Attributes:
+        by_segments: Crashes that no segment explains.
+        by_any: Crashes that neither a segment nor a whole request explains.
+    """
+
+    by_segments: list[_types.EngineCrash]
+    by_any: list[_types.EngineCrash]
+
+    @classmethod
+    def of(
+        cls, crashes: Collection[_types.EngineCrash], known: Collection[str]
+    ) -> "_Unexplained":
+        """Returns the crashes that known culprits do not explain."""
+        segments = [t for t in known if not _types.is_request_trait(t)]
+        return cls(_without(crashes, segments), _without(crashes, known))
+
+    def by(self, trait: str) -> list[_types.EngineCrash]:
+        """Returns the crashes that may count against a trait."""
+        if _types.is_request_trait(trait):
+            return self.by_any
+        return self.by_segments
+
+    def without(self, trait: str) -> "_Unexplained":
+        """Returns the crashes that a further culprit does not explain."""
+        by_any = _without(self.by_any, (trait,))
+        if _types.is_request_trait(trait):
+            return self._replace(by_any=by_any)
+        return _Unexplained(_without(self.by_segments, (trait,)), by_any)
 
 
 def _is_same(crash: _types.EngineCrash, other: _types.EngineCrash) -> bool:
@@ -397,14 +432,36 @@
     )
 
 
+def _is_one_request(trait: str, run: Sequence[_types.EngineCrash]) -> bool:
+    """Returns whether one request explains all crashes against a segment."""
+    if _types.is_request_trait(trait):
+        return False
+    requests = {
+        t
+        for suspect in run[0].suspects
+        if trait in suspect.traits
+        for t in suspect.traits
+        if _types.is_request_trait(t)
+    }
+    return any(all(_is_suspected(r, c) for c in run) for r in requests)
+
+
+def _min_explained_share(trait: str) -> float:
+    if _types.is_request_trait(trait):
+        return _MIN_EXPLAINED_SHARE_REQUEST
+    return _MIN_EXPLAINED_SHARE
+
+
 def _is_conclusive(
+    trait: str,
     generations: int,
     run: Sequence[_types.EngineCrash],
     was_answered: bool,
     is_clear: bool,
 ) -> bool:
-    """Returns whether a run of crashes makes its segment a culprit."""
-    if is_clear:
+    """Returns whether a run of crashes makes its trait a culprit."""
+    is_request = _types.is_request_trait(trait)
+    if is_clear or (is_request and not was_answered):
         return generations >= _MIN_GENERATIONS
     if not was_answered:
         return generations >= _MIN_GENERATIONS_UNCLEAR
@@ -414,35 +471,31 @@
     )
 
 
-def _segments_of(crash: _types.EngineCrash) -> set[str]:
-    """Returns the segments of all suspects of a crash."""
-    return {s for suspect in crash.suspects for s in suspect.segments}
+def _traits_of(crash: _types.EngineCrash) -> set[str]:
+    """Returns the traits of all suspects of a crash."""
+    return {s for suspect in crash.suspects for s in suspect.traits}
 
 
-def _is_suspected(segment: str, crash: _types.EngineCrash) -> bool:
-    return any(segment in s.segments for s in crash.suspects)
+def _is_suspected(trait: str, crash: _types.EngineCrash) -> bool:
+    return any(trait in s.traits for s in crash.suspects)
 
 
 def _without(
-    crashes: Collection[_types.EngineCrash], segments: Collection[str]
+    crashes: Collection[_types.EngineCrash], traits: Collection[str]
 ) -> list[_types.EngineCrash]:
-    """Returns the crashes that none of the segments explain."""
-    return [
-        c for c in crashes if not any(_is_suspected(s, c) for s in segments)
-    ]
+    """Returns the crashes that none of the traits explain."""
+    return [c for c in crashes if not any(_is_suspected(s, c) for s in traits)]
 
 
-def _count_generations(segment: str, run: Sequence[_types.EngineCrash]) -> int:
+def _count_generations(trait: str, run: Sequence[_types.EngineCrash]) -> int:
     """Returns the number of crashes by prompts sent after the one before.
 
     Engines that crash at the same time while they decode prompts with the same
-    segment are one generation: the cause may be another one.
+    trait are one generation: the cause may be another one.
     """
     count, previous_ms = 0, float("-inf")
     for crash in run:
-        sent_ms = max(
-            s.sent_ms for s in crash.suspects if segment in s.segments
-        )
+        sent_ms = max(s.sent_ms for s in crash.suspects if trait in s.traits)
         if sent_ms >= previous_ms:
             count += 1
             previous_ms = crash.at_ms
--- a/packages/hollycart-core/src/hollycart_core/crashes/_quarantine.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/_quarantine.py
@@ -1,4 +1,4 @@
-"""Segments of prompts that are not sent to engines."""
+"""Traits of requests that are not sent to engines."""
 
 from collections.abc import Collection
 from collections.abc import Sequence
@@ -9,8 +9,8 @@
 
 # Time after the last crash after which one request is admitted again, as a
 # trial, in ms: for a clear culprit, and for one that is not, which many sound
-# requests may need. Each failed trial multiplies it by the factor, up to the
-# maximum.
+# requests may need. A failed trial makes a culprit clear, each further one
+# multiplies the time by the factor, up to the maximum.
 _FIRST_TRIAL_MS = 20_000.0
 _FIRST_TRIAL_UNCLEAR_MS = 1000.0
 _TRIAL_FACTOR = 3.0
@@ -24,15 +24,15 @@
 
 
 class QuarantineEntry(NamedTuple):
-    """A segment that is in quarantine, or was released from it.
+    """A trait that is in quarantine, or was released from it.
 
     Attributes:
         service: Service whose engines crash.
-        segment: Id of the segment that is held responsible.
-        segments: Ids that a prompt has to contain, all of them, to be refused:
+        trait: The trait that is held responsible.
+        traits: Traits that a request has to have, all of them, to be refused:
             as long as it is not known which of them is the cause.
         version: Grows with each change; the highest one is in force.
-        released: Whether prompts with it are admitted again.
+        released: Whether requests with it are admitted again.
         trial_at_ms: Instant from which one request is admitted as a trial.
         failed_trials: Number of trials that crashed an engine.
         trial_delay_ms: Time from the last crash to the next trial, in ms.
@@ -41,8 +41,8 @@
     """
 
     service: str
-    segment: str
-    segments: frozenset[str]
+    trait: str
+    traits: frozenset[str]
     version: int
     released: bool
     trial_at_ms: float
@@ -52,8 +52,8 @@
     trial_by: str = ""
 
 
-class SegmentQuarantine:
-    """Keeps prompts with segments that crash engines away from them.
+class Quarantine:
+    """Keeps requests with traits that crash engines away from them.
 
     Instances exchange crashes, sound answers and entries, each of them more
     than once and in any order, and come to the same entries.
@@ -72,9 +72,9 @@
         return list(self._entries.values())
 
     def find(
-        self, service: str, segments: Collection[str]
+        self, service: str, traits: Collection[str]
     ) -> QuarantineEntry | None:
-        """Returns the entry that keeps a prompt away, if there is one.
+        """Returns the entry that keeps a request away, if there is one.
 
         Of several it is the one whose next trial is the latest.
         """
@@ -84,22 +84,22 @@
                 for e in self._entries.values()
                 if not e.released
                 and e.service == service
-                and e.segments.issubset(segments)
+                and e.traits.issubset(traits)
             ),
             key=lambda e: e.trial_at_ms,
             default=None,
         )
 
-    def suspicion(self, service: str, segments: Sequence[str]) -> int:
-        """Returns how many unexplained crashes speak against a prompt."""
+    def suspicion(self, service: str, traits: Sequence[str]) -> int:
+        """Returns how many unexplained crashes speak against a request."""
         return self.history.suspicion(
-            service, segments, self._quarantined(service)
+            service, traits, self._quarantined(service)
         )
 
     def unexplained(self) -> list[_types.EngineCrash]:
-        """Returns the crashes that no segment in quarantine explains."""
+        """Returns the crashes that no trait in quarantine explains."""
         return self.history.unexplained(
-            {e.segment for e in self._entries.values() if not e.released}
+            {e.trait for e in self._entries.values() if not e.released}
         )
 
     def record_crash(
@@ -122,7 +122,7 @@
         return changed
 
     def review(self, now_ms: float) -> list[QuarantineEntry]:
-        """Adds the segments that have turned out to crash engines.
+        """Adds the traits that have turned out to crash engines.
 
         Returns:
             The entries that were added.
@@ -137,31 +137,32 @@
     def record_success(
         self,
         service: str,
-        segments: Sequence[str],
+        traits: Sequence[str],
         began_ms: float,
         is_own: bool = True,
     ) -> list[QuarantineEntry]:
-        """Records that an engine decoded an answer to a prompt.
+        """Records a sound answer.
 
         Args:
             service: Service of the engine.
-            segments: Shared segments of the prompt.
-            began_ms: Instant of the first event.
-            is_own: Whether the prompt was sent by this instance; of others only
-                some segments of some prompts are known.
+            traits: Traits of the request.
+            began_ms: Instant of the first event; of an answer without events,
+                the instant at which the request was sent.
+            is_own: Whether the request was sent by this instance; of others
+                only some traits of some requests are known.
 
         Returns:
             The entries that changed.
         """
         if is_own:
             self.history.count_answer(service)
-        for segment in segments:
-            self.history.record_success(service, segment, began_ms, int(is_own))
+        for trait in traits:
+            self.history.record_success(service, trait, began_ms, int(is_own))
         changed = []
         for entry in list(self._entries.values()):
             if entry.service != service or entry.released:
                 continue
-            updated = _after_success(entry, segments, began_ms)
+            updated = _after_success(entry, traits, began_ms)
             if updated != entry:
                 self._store(updated)
                 changed.append(updated)
@@ -175,7 +176,7 @@
         Returns:
             The entry with the claim; None if it is not time for a trial.
         """
-        current = self._entries.get((entry.service, entry.segment))
+        current = self._entries.get((entry.service, entry.trait))
         if current is None or current.released or now_ms < current.trial_at_ms:
             return None
         claimed = current._replace(
@@ -206,7 +207,7 @@
 
     def is_in_force(self, entry: QuarantineEntry) -> bool:
         """Returns whether an entry, with its claim, is the one in force."""
-        current = self._entries.get((entry.service, entry.segment))
+        current = self._entries.get((entry.service, entry.trait))
         return (
             current is not None
             and current.version == entry.version
@@ -219,14 +220,14 @@
         Returns:
             Whether the entry in force changed, apart from its times.
         """
-        known = self._entries.get((entry.service, entry.segment))
+        known = self._entries.get((entry.service, entry.trait))
         merged = entry if known is None else _merge(known, entry)
         if merged.released:
             # What a trial has shown holds against the crashes before it.
             self.history.record_success(
-                entry.service, entry.segment, entry.last_crash_ms, 0
+                entry.service, entry.trait, entry.last_crash_ms, 0
             )
-        success_ms = self.history.last_success_ms(entry.service, entry.segment)
+        success_ms = self.history.last_success_ms(entry.service, entry.trait)
         if (
             not merged.released
             and success_ms is not None
@@ -245,19 +246,25 @@
         added = []
         quarantined = self._quarantined(service)
         for culprit in self.history.find_culprits(service, quarantined, now_ms):
-            known = self._entries.get((service, culprit.segment))
+            known = self._entries.get((service, culprit.trait))
             delay_ms = (
                 _FIRST_TRIAL_MS if culprit.is_clear else _FIRST_TRIAL_UNCLEAR_MS
             )
             if known is not None:
                 delay_ms = max(delay_ms, known.trial_delay_ms)
+            # Of several requests that crashed together, the sound ones are
+            # released by trials of their own.
+            is_tried_now = (
+                delay_ms < _FIRST_TRIAL_MS
+                and _types.is_request_trait(culprit.trait)
+            )
             entry = QuarantineEntry(
                 service,
-                culprit.segment,
-                culprit.segments,
+                culprit.trait,
+                culprit.traits,
                 known.version + 1 if known else 1,
                 False,
-                now_ms + delay_ms,
+                now_ms if is_tried_now else now_ms + delay_ms,
                 known.failed_trials if known else 0,
                 delay_ms,
                 culprit.last_crash_ms,
@@ -268,13 +275,13 @@
 
     def _quarantined(self, service: str) -> set[str]:
         return {
-            e.segment
+            e.trait
             for e in self._entries.values()
             if e.service == service and not e.released
         }
 
     def _store(self, entry: QuarantineEntry) -> None:
-        self._entries[entry.service, entry.segment] = entry
+        self._entries[entry.service, entry.trait] = entry
         if len(self._entries) > _MAX_ENTRIES:
             del self._entries[next(iter(self._entries))]
 
@@ -289,18 +296,20 @@
 def _after_crash(
     entry: QuarantineEntry, crash: _types.EngineCrash
 ) -> QuarantineEntry:
-    """Returns an entry after a crash that its segment explains."""
-    prompts = [s for s in crash.suspects if entry.segment in s.segments]
+    """Returns an entry after a crash that its trait explains."""
+    suspects = [s for s in crash.suspects if entry.trait in s.traits]
     is_new = crash.at_ms > entry.last_crash_ms
-    if entry.released or crash.service != entry.service or not prompts:
+    if entry.released or crash.service != entry.service or not suspects:
         return entry
-    segments = entry.segments.intersection(*(s.segments for s in prompts))
+    traits = entry.traits.intersection(*(s.traits for s in suspects))
     failed_trials, delay_ms = entry.failed_trials, entry.trial_delay_ms
     if is_new and entry.trial_by:
         failed_trials += 1
-        delay_ms = min(_MAX_TRIAL_MS, _TRIAL_FACTOR * delay_ms)
+        delay_ms = max(
+            _FIRST_TRIAL_MS, min(_MAX_TRIAL_MS, _TRIAL_FACTOR * delay_ms)
+        )
     updated = entry._replace(
-        segments=segments,
+        traits=traits,
         failed_trials=failed_trials,
         trial_delay_ms=delay_ms,
         last_crash_ms=max(entry.last_crash_ms, crash.at_ms),
@@ -313,19 +322,19 @@
 
 
 def _after_success(
-    entry: QuarantineEntry, segments: Collection[str], began_ms: float
+    entry: QuarantineEntry, traits: Collection[str], began_ms: float
 ) -> QuarantineEntry:
     """Returns an entry after a sound answer."""
     if began_ms <= entry.last_crash_ms:
         return entry
-    if entry.segment in segments:
+    if entry.trait in traits:
         return entry._replace(
             version=entry.version + 1, released=True, trial_by=""
         )
-    left = entry.segments.difference(segments)
-    if left == entry.segments:
+    left = entry.traits.difference(traits)
+    if left == entry.traits:
         return entry
-    return entry._replace(version=entry.version + 1, segments=left)
+    return entry._replace(version=entry.version + 1, traits=left)
 
 
 def _without_times(entry: QuarantineEntry) -> QuarantineEntry:
@@ -343,7 +352,7 @@
     if known.released != other.released:
         return known if known.released else other
     return known._replace(
-        segments=known.segments & other.segments or known.segments,
+        traits=known.traits & other.traits or known.traits,
         trial_at_ms=min(known.trial_at_ms, other.trial_at_ms),
         failed_trials=max(known.failed_trials, other.failed_trials),
         trial_delay_ms=max(known.trial_delay_ms, other.trial_delay_ms),
--- a/packages/hollycart-core/src/hollycart_core/crashes/tests/test_attempt_log.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/tests/test_attempt_log.py
@@ -3,8 +3,8 @@
 from hollycart_core import crashes
 
 
-def tracked(sent_ms, prefill_ms=40.0, segments=("f",)):
-    return crashes.TrackedAttempt("e", 7, "s", segments, sent_ms, prefill_ms)
+def tracked(sent_ms, prefill_ms=40.0, traits=("f",)):
+    return crashes.TrackedAttempt("e", 7, "s", traits, sent_ms, prefill_ms)
 
 
 @pytest.mark.parametrize(
--- a/packages/hollycart-core/src/hollycart_core/crashes/tests/test_crash_history.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/tests/test_crash_history.py
@@ -3,11 +3,11 @@
 from hollycart_core import crashes
 
 
-def answer(history, *segments, began_ms=10.0, count=1):
+def answer(history, *traits, began_ms=10.0, count=1):
     for _ in range(count):
         history.count_answer("s")
-        for segment in segments:
-            history.record_success("s", segment, began_ms)
+        for trait in traits:
+            history.record_success("s", trait, began_ms)
 
 
 def crash(at_ms, *prompts, endpoint=None, lag_ms=80.0, service="s"):
@@ -30,10 +30,10 @@
 
 def culprits(history, known=()):
     found = history.find_culprits("s", known, 90_000.0)
-    return {c.segment: set(c.segments) for c in found}
+    return {c.trait: set(c.traits) for c in found}
 
 
-def test_segment_of_crashes_one_after_the_other_is_a_culprit(history):
+def test_trait_of_crashes_one_after_the_other_is_a_culprit(history):
     for at_ms in (100.0, 300.0):
         history.record_crash(crash(at_ms, "fp", "fa"))
         assert not culprits(history)
@@ -50,10 +50,10 @@
     assert culprits(history) == {"f": {"f", "p"}}
 
 
-def test_of_two_unanswered_segments_the_one_that_explains_more_is_blamed(
+def test_of_two_unanswered_traits_the_one_that_explains_more_is_blamed(
     history,
 ):
-    """A rare segment of sound prompts is beside most of the crashes."""
+    """A rare trait of sound prompts is beside most of the crashes."""
     history.record_crash(crash(100.0, "fxp", "ft"))
     history.record_crash(crash(300.0, "fxp"))
     history.record_crash(crash(500.0, "ftp"))
@@ -72,11 +72,11 @@
     history.record_success("s", "f", 50.0)
     history.record_success("s", "t", 50.0)
     (culprit,) = history.find_culprits("s", (), 9000.0)
-    assert culprit.segment == "p"
+    assert culprit.trait == "p"
     assert culprit.is_clear
 
 
-def test_segments_with_sound_answers_are_not_blamed_for_what_another_explains(
+def test_traits_with_sound_answers_are_not_blamed_for_what_another_explains(
     history,
 ):
     history.record_success("s", "f", 10.0)
@@ -86,8 +86,8 @@
     assert set(culprits(history)) == {"p"}
 
 
-def test_segments_of_single_prompts_do_not_hide_one_that_was_answered(history):
-    """Each prompt also has a segment that no other prompt has."""
+def test_traits_of_single_prompts_do_not_hide_one_that_was_answered(history):
+    """Each prompt also has a trait that no other prompt has."""
     answer(history, "f", count=40)
     answer(history, "p")
     for number in range(4):
@@ -95,7 +95,7 @@
     assert set(culprits(history)) == {"p"}
 
 
-def test_segment_with_answers_is_not_blamed_beside_one_without(history):
+def test_trait_with_answers_is_not_blamed_beside_one_without(history):
     """Not even while others have not yet reported the prompt that is guilty."""
     history.record_success("s", "f", 10.0)
     for at_ms in (100.0, 300.0, 500.0, 700.0):
@@ -111,7 +111,7 @@
     assert history.find_culprits("s", (), 500.0 + crashes.SETTLE_MS)
 
 
-def test_segment_that_was_answered_needs_more_crashes_over_some_time(history):
+def test_trait_that_was_answered_needs_more_crashes_over_some_time(history):
     answer(history, "f", count=40)
     answer(history, "f", "p")
     for number in range(6):
@@ -124,7 +124,7 @@
 @pytest.mark.parametrize(
     ("without", "is_culprit"), [(0, False), (30, False), (60, True)]
 )
-def test_segment_of_most_answers_is_no_culprit(history, without, is_culprit):
+def test_trait_of_most_answers_is_no_culprit(history, without, is_culprit):
     """All engines crash again and again; refusing all prompts helps nobody."""
     answer(history, "f", count=40)
     answer(history, "g", count=without)
@@ -133,7 +133,7 @@
     assert (set(culprits(history)) == {"f"}) == is_culprit
 
 
-def test_instance_with_few_answers_blames_no_answered_segment(history):
+def test_instance_with_few_answers_blames_no_answered_trait(history):
     answer(history, "f", count=3)
     answer(history, "g", count=6)
     for number in range(6):
@@ -148,7 +148,7 @@
     assert not culprits(history)
 
 
-def test_sound_answers_between_crashes_clear_a_segment(history):
+def test_sound_answers_between_crashes_clear_a_trait(history):
     for number in range(9):
         history.record_crash(crash(100.0 + 500.0 * number, "ft"))
         history.record_success("s", "f", 300.0 + 500.0 * number)
@@ -157,7 +157,7 @@
     assert not culprits(history)
 
 
-def test_answer_that_began_before_a_crash_does_not_clear_a_segment(history):
+def test_answer_that_began_before_a_crash_does_not_clear_a_trait(history):
     answer(history, "f", count=40)
     for at_ms in (100.0, 700.0, 1300.0, 1900.0):
         history.record_crash(crash(at_ms, "p"))
@@ -166,7 +166,7 @@
 
 
 def test_engines_that_crash_for_other_reasons_make_nobody_a_culprit(history):
-    """A rare segment is at a few of many crashes, always the same engines."""
+    """A rare trait is at a few of many crashes, always the same engines."""
     for number in range(40):
         prompts = ["rx"] if number % 13 == 0 else []
         history.record_crash(crash(100.0 + 400.0 * number, *prompts))
@@ -189,7 +189,7 @@
     assert not history.unexplained("p")
 
 
-def test_earlier_answers_make_a_segment_less_suspicious(history):
+def test_earlier_answers_make_a_trait_less_suspicious(history):
     history.record_crash(crash(100.0, "fp"))
     assert history.suspicion("s", "p", ()) == 1
     history.record_success("s", "f", 50.0)
--- a/packages/hollycart-core/src/hollycart_core/crashes/tests/test_quarantine.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/tests/test_quarantine.py
@@ -18,7 +18,7 @@
 @pytest.fixture
 def quarantine():
     """The engines of the service have answered something before."""
-    made = crashes.SegmentQuarantine()
+    made = crashes.Quarantine()
     made.record_success("s", "o", 0.0)
     return made
 
@@ -30,30 +30,30 @@
     return quarantine.find("s", prompt)
 
 
-def test_prompts_are_refused_only_with_all_segments_that_may_be_the_cause(
+def test_prompts_are_refused_only_with_all_traits_that_may_be_the_cause(
     quarantine,
 ):
     entry = blame(quarantine)
-    assert entry.segments == {"f", "p"}
+    assert entry.traits == {"f", "p"}
     assert quarantine.find("s", "fpx") == entry
     assert quarantine.find("s", "fx") is None
     assert quarantine.find("s", "px") is None
     assert quarantine.find("other", "fp") is None
 
 
-def test_sound_answer_of_a_shared_segment_narrows_an_entry(quarantine):
+def test_sound_answer_of_a_shared_trait_narrows_an_entry(quarantine):
     blame(quarantine)
     assert quarantine.record_success("s", "fx", 600.0)
     quarantine.review(700.0)
     assert quarantine.find("s", "fx") is None
-    assert quarantine.find("s", "px").segments == {"p"}
+    assert quarantine.find("s", "px").traits == {"p"}
 
 
-def test_crash_with_some_of_the_segments_narrows_an_entry(quarantine):
+def test_crash_with_some_of_the_traits_narrows_an_entry(quarantine):
     quarantine.record_success("s", "f", 1.0)
     blame(quarantine)
     quarantine.record_crash(crash(900.0, "gp"), 900.0)
-    assert quarantine.find("s", "p").segments == {"p"}
+    assert quarantine.find("s", "p").traits == {"p"}
 
 
 def test_one_trial_is_admitted_at_a_time(quarantine):
@@ -66,7 +66,7 @@
     assert quarantine.claim_trial(entry, "b", due_ms + 1.0) is None
 
 
-def test_prompt_with_two_segments_waits_for_the_later_trial(quarantine):
+def test_prompt_with_two_traits_waits_for_the_later_trial(quarantine):
     first = blame(quarantine, "p")
     second = blame(quarantine, "q", (5100.0, 5300.0, 5500.0))
     assert quarantine.find("s", "pq") == second
@@ -83,7 +83,7 @@
         assert entry.trial_at_ms == now_ms + 90.0 + FIRST_TRIAL_MS * 3.0**trial
 
 
-def test_segment_that_was_answered_is_tried_again_soon(quarantine):
+def test_trait_that_was_answered_is_tried_again_soon(quarantine):
     for _ in range(40):
         quarantine.record_success("s", "f", 10.0)
     quarantine.record_success("s", "p", 10.0)
@@ -115,7 +115,7 @@
 
 def test_instance_that_knows_of_a_later_sound_answer_objects(quarantine):
     entry = blame(quarantine)
-    other = crashes.SegmentQuarantine()
+    other = crashes.Quarantine()
     other.record_success("s", "fp", 700.0)
     assert other.merge(entry, 800.0)
     assert other.find("s", "fp") is None
@@ -126,7 +126,7 @@
 
 def test_simultaneous_claims_leave_one_in_force(quarantine):
     entry = blame(quarantine)
-    other = crashes.SegmentQuarantine()
+    other = crashes.Quarantine()
     other.merge(entry, 500.0)
     due_ms = entry.trial_at_ms
     first = quarantine.claim_trial(entry, "a", due_ms)
@@ -158,7 +158,7 @@
 )
 def test_instances_that_have_exchanged_all_hold_the_same_entries(steps):
     """Clocks are equal and nothing is lost at the end."""
-    fleet = [crashes.SegmentQuarantine() for _ in range(3)]
+    fleet = [crashes.Quarantine() for _ in range(3)]
     now_ms = 0.0
     for number, kind, prompt in steps:
         now_ms += 7000.0
@@ -178,7 +178,7 @@
         for own in fleet:
             for other in fleet:
                 _exchange(own, other, now_ms)
-    held = [sorted(q.entries, key=lambda e: e.segment) for q in fleet]
+    held = [sorted(q.entries, key=lambda e: e.trait) for q in fleet]
     assert held[0] == held[1] == held[2]
 
 
@@ -189,7 +189,7 @@
 
 
 def test_answers_that_others_report_again_and_again_count_once(quarantine):
-    """With each heartbeat; otherwise a rare segment would seem to be common."""
+    """With each heartbeat; otherwise a rare trait would seem to be common."""
     for _ in range(40):
         quarantine.record_success("s", "f", 10.0)
         quarantine.record_success("s", "p", 20.0, is_own=False)
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -75,8 +75,14 @@
         """
         service = request.service
         if service.engine is None or not request.meta.prompt_tokens:
+            candidates = self._candidates(
+                service.name, progress.excluded, now_ms
+            )
+            if progress.is_isolated:
+                idle = [e for e in candidates if not self.in_flight[e.id]]
+                candidates = idle or candidates
             endpoint = placement.least_busy(
-                self._candidates(service.name, progress.excluded, now_ms),
+                candidates,
                 self.in_flight,
                 self.zone,
             )
--- a/packages/hollycart/src/hollycart/gateway/_crash_exchange.py
+++ b/packages/hollycart/src/hollycart/gateway/_crash_exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges crashes of engines and segments in quarantine between instances."""
+"""Exchanges crashes of engines and traits in quarantine between instances."""
 
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -17,9 +17,9 @@
 _MAX_REPEATED_CRASHES = 8
 _MAX_ENTRIES_IN_MESSAGE = 16
 _MAX_REPEATED_ENTRIES = 64
-# Attempts of a crash that are sent, and segments of all of them together.
+# Attempts of a crash that are sent, and traits of all of them together.
 _MAX_SUSPECTS = 16
-_MAX_SEGMENTS = 192
+_MAX_TRAITS = 192
 
 
 class CrashExchange:
@@ -41,7 +41,7 @@
     def __init__(
         self,
         peers: _peers.PeerExchange,
-        quarantine: crashes.SegmentQuarantine,
+        quarantine: crashes.Quarantine,
         clock: base.Clock,
         rng: random.Random,
         on_change: Callable[[Sequence[crashes.QuarantineEntry], str], None],
@@ -61,12 +61,12 @@
         self.peers.on_new_peer = self.send_all
 
     def announce_crash(self, crash: crashes.EngineCrash) -> None:
-        """Announces a crash, and when its segments were last answered."""
+        """Announces a crash, and when its traits were last answered."""
         now_ms = self.clock.now_ms()
         self._broadcast(self._crash_message(crash, now_ms))
 
     def announce_success(
-        self, service: str, segments: Sequence[str], began_ms: float
+        self, service: str, traits: Sequence[str], began_ms: float
     ) -> None:
         """Announces a sound answer."""
         age_ms = self.clock.now_ms() - began_ms
@@ -75,7 +75,7 @@
                 self.peers.name,
                 successes=[
                     _crash_messages.Success(service, s, age_ms)
-                    for s in segments[:_MAX_SEGMENTS]
+                    for s in traits[:_MAX_TRAITS]
                 ],
             )
         )
@@ -134,15 +134,13 @@
     ) -> _crash_messages.CrashEvidence:
         history = self.quarantine.history
         suspects = crash.suspects[:_MAX_SUSPECTS]
-        most = _MAX_SEGMENTS // max(1, len(suspects))
-        suspects = tuple(
-            s._replace(segments=s.segments[:most]) for s in suspects
-        )
+        most = _MAX_TRAITS // max(1, len(suspects))
+        suspects = tuple(s._replace(traits=s.traits[:most]) for s in suspects)
         crash = crash._replace(suspects=suspects)
-        segments = dict.fromkeys(s for a in suspects for s in a.segments)
+        traits = dict.fromkeys(s for a in suspects for s in a.traits)
         successes = [
             _crash_messages.Success(crash.service, s, now_ms - began_ms)
-            for s in list(segments)[:_MAX_SEGMENTS]
+            for s in list(traits)[:_MAX_TRAITS]
             if (began_ms := history.last_success_ms(crash.service, s))
             is not None
         ]
@@ -175,7 +173,7 @@
             for success in message.successes:
                 changed += self.quarantine.record_success(
                     success.service,
-                    (success.segment,),
+                    (success.trait,),
                     now_ms - success.age_ms,
                     is_own=False,
                 )
--- a/packages/hollycart/src/hollycart/gateway/_segment_guard.py
+++ b/packages/hollycart/src/hollycart/gateway/_crash_guard.py
@@ -1,4 +1,4 @@
-"""Keeps prompts with segments that crash engines away from the engines."""
+"""Keeps requests with traits that crash engines away from the engines."""
 
 from collections.abc import Sequence
 import random
@@ -24,15 +24,15 @@
 _REVIEW_MARGIN_MS = 5.0
 # Callers return spread over this share of the time for which they were refused.
 _RETURN_SPREAD = 0.25
-# A request whose prompt two engines may have crashed on is not tried again.
+# A request that two engines may have crashed on is not tried again.
 _MAX_SUSPECTED_CRASHES = 2
-# Attempts that engines cut off by crashing on another prompt, and that do not
+# Attempts that engines cut off by crashing on another request, and that do not
 # count towards the attempts that the route allows.
 _MAX_UNCOUNTED_ATTEMPTS = 2
 
 
-class SegmentGuard:
-    """Refuses prompts that crash engines, and decides on their retries.
+class CrashGuard:
+    """Refuses requests that crash engines, and decides on their retries.
 
     Args:
         peers: Exchange of datagrams with the other instances.
@@ -58,7 +58,7 @@
         self.metrics = metrics
         self.clock = clock
         self.rng = rng
-        self.quarantine = crashes.SegmentQuarantine()
+        self.quarantine = crashes.Quarantine()
         self.exchange = _crash_exchange.CrashExchange(
             peers,
             self.quarantine,
@@ -79,10 +79,10 @@
     def admit(
         self, request: _job.AdmittedRequest, progress: _job.Progress
     ) -> None:
-        """Admits a prompt, as a trial if it is time for one.
+        """Admits a request, as a trial if it is time for one.
 
         Raises:
-            QuarantinedError: If a segment of the prompt is in quarantine.
+            QuarantinedError: If a trait of the request is in quarantine.
         """
         entry = self._find(request)
         if entry is None:
@@ -94,11 +94,11 @@
             self.clock.sleep_ms(_CLAIM_WAIT_MS)
             if self.quarantine.is_in_force(claimed):
                 progress.trial = claimed
-                self.metrics.count("segment_trial")
+                self.metrics.count("quarantine_trial")
                 self.log.write(
-                    observe.decisions.SegmentTrial(
+                    observe.decisions.QuarantineTrial(
                         request.meta.request_id,
-                        claimed.segment,
+                        claimed.trait,
                         claimed.failed_trials,
                         round(now_ms - claimed.last_crash_ms, 1),
                     )
@@ -109,10 +109,10 @@
     def check(
         self, request: _job.AdmittedRequest, progress: _job.Progress
     ) -> None:
-        """Checks a prompt again before it is placed and before it is sent.
+        """Checks a request again before it is placed and before it is sent.
 
         Raises:
-            QuarantinedError: If a segment of the prompt is in quarantine, and
+            QuarantinedError: If a trait of the request is in quarantine, and
                 the request is not its trial.
         """
         trial = progress.trial
@@ -135,10 +135,10 @@
     def should_isolate(
         self, request: _job.AdmittedRequest, progress: _job.Progress
     ) -> bool:
-        """Returns whether a prompt should not run beside others.
+        """Returns whether a request should not run beside others.
 
-        The load it answers: a prompt that may crash its engine would take
-        sound requests with it, and they would be suspected with it.
+        The load it answers: a request that may crash its engine would take
+        sound ones with it, and they would be suspected with it.
         """
         return progress.trial is not None or self._suspicion(request) > 0
 
@@ -175,22 +175,22 @@
         self._schedule_review()
 
     def record_success(
-        self, service: str, segments: tuple[str, ...], began_ms: float
+        self, service: str, traits: tuple[str, ...], began_ms: float
     ) -> None:
-        """Records that an engine decoded an answer; announces it if it counts.
+        """Records a sound answer; announces it if it counts.
 
-        It does if a crash had made a segment of the prompt suspicious.
+        It does if a crash had made a trait of the request suspicious.
         """
         history = self.quarantine.history
-        suspected = [s for s in segments if history.implicates(service, s)]
-        changed = self.quarantine.record_success(service, segments, began_ms)
+        suspected = [s for s in traits if history.implicates(service, s)]
+        changed = self.quarantine.record_success(service, traits, began_ms)
         cleared = [s for s in suspected if not history.implicates(service, s)]
         if cleared:
             self.exchange.announce_success(service, cleared, began_ms)
         self._handle_own_change(changed)
 
     def count_quarantined(self) -> int:
-        """Returns the number of segments in quarantine."""
+        """Returns the number of traits in quarantine."""
         return sum(not e.released for e in self.quarantine.entries)
 
     def _schedule_review(self) -> None:
@@ -214,22 +214,18 @@
     def _find(
         self, request: _job.AdmittedRequest
     ) -> crashes.QuarantineEntry | None:
-        return self.quarantine.find(
-            request.service.name, request.meta.shared_segments
-        )
+        return self.quarantine.find(request.service.name, request.traits)
 
     def _suspicion(self, request: _job.AdmittedRequest) -> int:
-        return self.quarantine.suspicion(
-            request.service.name, request.meta.shared_segments
-        )
+        return self.quarantine.suspicion(request.service.name, request.traits)
 
     def _refuse(self, entry: crashes.QuarantineEntry, now_ms: float) -> None:
         wait_ms = max(0.0, entry.trial_at_ms - now_ms)
         outcome_ms = min(_TRIAL_OUTCOME_MS, entry.trial_delay_ms)
         spread_ms = _RETURN_SPREAD * wait_ms * self.rng.random()
         raise base.QuarantinedError(
-            f"segment {entry.segment} of the prompt has crashed engines of "
-            f"service {entry.service}, the last one "
+            f"trait {entry.trait} has crashed engines of service "
+            f"{entry.service}, the last one "
             f"{now_ms - entry.last_crash_ms:.0f} ms ago",
             max(
                 placement.MIN_RETRY_AFTER_MS,
@@ -250,13 +246,13 @@
         now_ms = self.clock.now_ms()
         for entry in changed:
             self.metrics.count(
-                "segment_released" if entry.released else "segment_quarantined"
+                "quarantine_released" if entry.released else "quarantined"
             )
             self.log.write(
-                observe.decisions.SegmentQuarantined(
+                observe.decisions.Quarantined(
                     entry.service,
-                    entry.segment,
-                    tuple(sorted(entry.segments)),
+                    entry.trait,
+                    tuple(sorted(entry.traits)),
                     entry.released,
                     entry.failed_trials,
                     round(entry.trial_at_ms - now_ms, 1),
@@ -265,7 +261,8 @@
                     source,
                 )
             )
-            if not entry.released:
+            # What waits may be sound while a trial is due at once.
+            if not entry.released and entry.trial_at_ms > now_ms:
                 self.watch.abort_waiting(
-                    entry.service, entry.segments, entry.trial_by
+                    entry.service, entry.traits, entry.trial_by
                 )
--- a/packages/hollycart/src/hollycart/gateway/_crash_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_crash_messages.py
@@ -1,4 +1,4 @@
-"""Datagrams about crashes of engines and segments in quarantine.
+"""Datagrams about crashes of engines and traits in quarantine.
 
 As in `_messages`, the order of the fields and the tag are the wire format.
 Times are relative to the sending, as the clocks of instances differ.
@@ -13,7 +13,7 @@
     """An attempt that may have crashed an engine, see `SuspectAttempt`."""
 
     attempt_id: str
-    segments: list[str]
+    traits: list[str]
     sent_age_ms: float
 
 
@@ -28,25 +28,25 @@
 
 
 class Success(msgspec.Struct, array_like=True):
-    """An engine decoded an answer to a prompt with a segment.
+    """An engine answered a request with a trait.
 
     Attributes:
         service: Service of the engine.
-        segment: Id of the segment.
+        trait: The trait.
         age_ms: Time since the first event of the answer, in ms.
     """
 
     service: str
-    segment: str
+    trait: str
     age_ms: float
 
 
 class Entry(msgspec.Struct, array_like=True):
-    """A segment in quarantine, see `crashes.QuarantineEntry`."""
+    """A trait in quarantine, see `crashes.QuarantineEntry`."""
 
     service: str
-    segment: str
-    segments: list[str]
+    trait: str
+    traits: list[str]
     version: int
     released: bool
     trial_in_ms: float
@@ -63,7 +63,7 @@
         sender: Name of the instance.
         crashes: Crashes of engines.
         successes: Sound answers.
-        entries: Segments in quarantine, and those released from it.
+        entries: Traits in quarantine, and those released from it.
         forward: Whether the receiver passes the message on to its cell.
     """
 
@@ -82,7 +82,7 @@
         crash.service,
         now_ms - crash.at_ms,
         [
-            Suspect(s.attempt_id, list(s.segments), now_ms - s.sent_ms)
+            Suspect(s.attempt_id, list(s.traits), now_ms - s.sent_ms)
             for s in crash.suspects
         ],
     )
@@ -104,7 +104,7 @@
         now_ms - crash.age_ms,
         tuple(
             crashes.SuspectAttempt(
-                s.attempt_id, tuple(s.segments), now_ms - s.sent_age_ms
+                s.attempt_id, tuple(s.traits), now_ms - s.sent_age_ms
             )
             for s in crash.suspects
         ),
@@ -115,8 +115,8 @@
     """Converts an entry for sending."""
     return Entry(
         entry.service,
-        entry.segment,
-        sorted(entry.segments),
+        entry.trait,
+        sorted(entry.traits),
         entry.version,
         entry.released,
         entry.trial_at_ms - now_ms,
@@ -139,8 +139,8 @@
     """
     return crashes.QuarantineEntry(
         entry.service,
-        entry.segment,
-        frozenset(entry.segments),
+        entry.trait,
+        frozenset(entry.traits),
         entry.version,
         entry.released,
         now_ms + entry.trial_in_ms,
--- a/packages/hollycart/src/hollycart/gateway/_crash_watch.py
+++ b/packages/hollycart/src/hollycart/gateway/_crash_watch.py
@@ -37,8 +37,8 @@
     Attributes:
         on_crash: Called with the crash of an engine at which attempts of this
             instance ran.
-        on_success: Called with the service, the shared segments and the instant
-            of the first event of an attempt that did not crash its engine.
+        on_success: Called with the service, the traits and the instant of the
+            first event of an attempt that did not crash its engine.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
             None
         )
         self.on_success: Callable[[str, tuple[str, ...], float], None] = (
-            lambda service, segments, began_ms: None
+            lambda service, traits, began_ms: None
         )
         self._attempts = crashes.AttemptLog()
         self._threads: dict[str, Any] = {}
@@ -74,7 +74,7 @@
                 chosen.endpoint.id,
                 chosen.endpoint.born_ms,
                 request.service.name,
-                request.meta.shared_segments,
+                request.traits,
                 self.clock.now_ms(),
                 chosen.first_event_ms - chosen.send_delay_ms,
             ),
@@ -124,7 +124,7 @@
             observe.decisions.EngineCrashed(
                 endpoint_id,
                 tuple(attempts),
-                tuple(s.segments for s in crash.suspects),
+                tuple(s.traits for s in crash.suspects),
             )
         )
         self.on_crash(crash)
@@ -136,7 +136,7 @@
     def find_cause(self, attempt_id: str) -> CutCause:
         """Returns why an attempt failed; waits for an answer of its engine."""
         attempt = self._attempts.find(attempt_id)
-        if attempt is None or attempt.cut_ms is None or not attempt.segments:
+        if attempt is None or attempt.cut_ms is None or not attempt.traits:
             return CutCause.OTHER
         if not self.has_crashed(attempt.endpoint):
             self.find_out(attempt.endpoint)
@@ -147,21 +147,21 @@
         return CutCause.CRASH
 
     def abort_waiting(
-        self, service: str, segments: Collection[str], trial_by: str
+        self, service: str, traits: Collection[str], trial_by: str
     ) -> None:
-        """Aborts the attempts that have no event yet and contain all segments.
+        """Aborts the attempts that have no event yet and have all traits.
 
         Args:
             service: Service of the engines.
-            segments: The segments.
+            traits: The traits.
             trial_by: Instance whose attempt goes on, as a trial; empty for
                 none.
         """
         if trial_by:
             return
-        for attempt_id, attempt in self._attempts.waiting(service, segments):
+        for attempt_id, attempt in self._attempts.waiting(service, traits):
             exc = _failures.AttemptAbortedError(
-                f"segments in quarantine, at {attempt.endpoint}"
+                f"traits in quarantine, at {attempt.endpoint}"
             )
             eventlet.spawn_n(self._abort, attempt_id, exc)
 
@@ -172,7 +172,7 @@
 
     def _report_success(self, attempt: crashes.TrackedAttempt) -> None:
         began_ms = attempt.first_event_ms or attempt.sent_ms
-        self.on_success(attempt.service, attempt.segments, began_ms)
+        self.on_success(attempt.service, attempt.traits, began_ms)
 
 
 def _is_cut(exc: base.HollycartError | None) -> bool:
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -11,6 +11,7 @@
 from hollycart.gateway import _attempt_placer
 from hollycart.gateway import _chooser
 from hollycart.gateway import _codec
+from hollycart.gateway import _crash_guard
 from hollycart.gateway import _crash_watch
 from hollycart.gateway import _delegate
 from hollycart.gateway import _delegator
@@ -23,7 +24,6 @@
 from hollycart.gateway import _peers
 from hollycart.gateway import _permits
 from hollycart.gateway import _reserver
-from hollycart.gateway import _segment_guard
 from hollycart.gateway import _state
 from hollycart.gateway import _stream_watch
 from hollycart.gateway import _waiting
@@ -114,7 +114,7 @@
         self.crash_watch = _crash_watch.CrashWatch(
             log, metrics, clock, self._find_out_crash
         )
-        self.guard = _segment_guard.SegmentGuard(
+        self.guard = _crash_guard.CrashGuard(
             peers, self.crash_watch, log, metrics, clock, rng
         )
         self.dependencies = _waiting.AttemptDependencies()
@@ -239,16 +239,15 @@
     ) -> _stream_watch.StreamRecorder:
         """Returns the recorder for an attempt that is sent now."""
         sent_ms = self.clock.now_ms()
+        attempt_id = progress.attempt_id
 
         def on_first_event(now_ms: float) -> None:
+            self.crash_watch.record_first_event(attempt_id, now_ms)
             self._record_first_event(request, chosen, now_ms, sent_ms)
 
         def on_gap(gap_ms: float, now_ms: float) -> None:
             self.chooser.record_gap(request, chosen.endpoint.id, gap_ms, now_ms)
-            if chosen.assignments:
-                self.crash_watch.record_event(
-                    chosen.assignments[0].attempt_id, now_ms
-                )
+            self.crash_watch.record_event(attempt_id, now_ms)
 
         return _stream_watch.StreamRecorder(
             self.clock, progress, on_first_event, on_gap
@@ -262,9 +261,6 @@
         sent_ms: float,
     ) -> None:
         if chosen.assignments:
-            self.crash_watch.record_first_event(
-                chosen.assignments[0].attempt_id, now_ms
-            )
             self.dependencies.drop_finished_helpers(
                 chosen.assignments[0].attempt_id, chosen.assignments
             )
@@ -384,7 +380,10 @@
         endpoint = self.platform_state.endpoints.get(endpoint_id)
         if endpoint is None or self.crash_watch.has_crashed(endpoint_id):
             return
-        if self._liveness.find_failure(endpoint, True) is not None:
+        cfg = self.platform_state.config
+        service = cfg.services.get(endpoint.service) if cfg else None
+        reports_load = service is not None and service.engine is not None
+        if self._liveness.find_failure(endpoint, reports_load) is not None:
             self.health.record_timeout(endpoint_id, self.clock.now_ms())
             self.crash_watch.handle_refused(endpoint_id)
 
@@ -533,8 +532,7 @@
                 cfg.version if cfg else 0,
                 round(self.platform_state.freshness.age_ms(now_ms), 1),
                 sum(r.tokens for r in chosen.reservations),
-                request.meta.shared_segments,
-                request.fingerprint,
+                request.traits,
             )
         )
 
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -357,7 +357,7 @@
                     for e in self.platform_state.endpoints.values()
                 )
             ),
-            "segments_quarantined": float(
+            "traits_quarantined": float(
                 self.forwarder.guard.count_quarantined()
             ),
             "endpoints_unreachable": float(
--- a/packages/hollycart/src/hollycart/gateway/_job.py
+++ b/packages/hollycart/src/hollycart/gateway/_job.py
@@ -28,7 +28,15 @@
     service: routing.Service
     team: routing.Team | None
     deadline_ms: float
-    fingerprint: str = ""
+    fingerprint: str
+
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """What the request shares with others that may crash engines."""
+        return (
+            crashes.request_trait(self.fingerprint),
+            *self.meta.shared_segments,
+        )
 
 
 class Progress:
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -270,7 +270,10 @@
                 ),
             )
         ],
-        [routing.Team("team-a", ("key-a",))],
+        [
+            routing.Team("team-a", ("key-a",)),
+            routing.Team("team-b", ("key-b",)),
+        ],
     )
 
 
--- a/packages/hollycart/src/hollycart/gateway/tests/crashing_fleet.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/crashing_fleet.py
@@ -229,7 +229,14 @@
         self.start_engine(number)
         self.publish_later(LIST_LAG_MS)
 
-    def call(self, segments, instance=None, path="/stream/", body=None):
+    def call(
+        self,
+        segments,
+        instance=None,
+        path="/stream/",
+        body=None,
+        key=b"key-a",
+    ):
         """Sends a request; it has a prompt if it has segments."""
         running = [n for n in self.instances if n not in self.stopped]
         name = instance or self.rng.choice(running)
@@ -241,6 +248,7 @@
             PROMPT_TOKENS if segments else 0,
             ",".join(segments),
             b"%d" % len(self.calls) if body is None else body,
+            key,
         )
         self.calls.append((exchange, segments, now_ms))
         eventlet.spawn(self.handle, self.instances[name], exchange)
--- a/packages/hollycart/src/hollycart/gateway/tests/virtual.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/virtual.py
@@ -106,8 +106,17 @@
     response_started = False
     ended_ms = None
 
-    def __init__(self, path, request_id, now_ms, tokens, segments="", body=b""):
-        fields = [(b"Id", request_id.encode()), (b"Key", b"key-a")]
+    def __init__(
+        self,
+        path,
+        request_id,
+        now_ms,
+        tokens,
+        segments="",
+        body=b"",
+        key=b"key-a",
+    ):
+        fields = [(b"Id", request_id.encode()), (b"Key", key)]
         if tokens:
             fields.append((b"Tokens", str(tokens).encode()))
         if segments:
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -27,9 +27,8 @@
         config_version: Version of the configuration in force.
         age_ms: Age of the state.
         reserved_tokens: Memory reserved before the request is sent, in tokens.
-        segments: Ids of the segments that the prompt shares with others.
-        fingerprint: Digest of the request, the same each time that its caller
-            sends it again.
+        traits: Shared segments of the prompt, and the fingerprint of the
+            request, which is the same each time that its caller sends it.
     """
 
     request: str
@@ -42,8 +41,7 @@
     config_version: int
     age_ms: float
     reserved_tokens: int
-    segments: tuple[str, ...] = ()
-    fingerprint: str = ""
+    traits: tuple[str, ...] = ()
 
 
 class FirstEvent(Decision, tag="first_event"):
@@ -196,8 +194,9 @@
     Attributes:
         endpoint: Id of the engine.
         attempts: Ids of the attempts of this instance there.
-        suspects: Shared segments of each prompt that may have crashed it: it
-            was prefilled, and had not been in decode for long.
+        suspects: Traits of each request that may have crashed it: of those
+            with a prompt, the ones that were prefilled and had not been in
+            decode for long.
     """
 
     endpoint: str
@@ -205,14 +204,15 @@
     suspects: tuple[tuple[str, ...], ...]
 
 
-class SegmentQuarantined(Decision, tag="segment_quarantined"):
-    """Prompts with a segment are refused from now on, or are admitted again.
+class Quarantined(Decision, tag="quarantined"):
+    """Requests with a trait are refused from now on, or are admitted again.
 
     Attributes:
         service: Service whose engines crash.
-        segment: Id of the segment that is held responsible.
-        segments: Ids that a prompt has to contain to be refused.
-        released: Whether prompts with it are admitted again.
+        trait: The trait that is held responsible: a segment of prompts, or the
+            fingerprint of a request.
+        traits: Traits that a request has to have, all of them, to be refused.
+        released: Whether requests with it are admitted again.
         failed_trials: Number of trials that crashed an engine.
         trial_in_ms: Time until one request is admitted as a trial.
         crash_age_ms: Time since the last crash.
@@ -221,8 +221,8 @@
     """
 
     service: str
-    segment: str
-    segments: tuple[str, ...]
+    trait: str
+    traits: tuple[str, ...]
     released: bool
     failed_trials: int
     trial_in_ms: float
@@ -231,18 +231,18 @@
     source: str
 
 
-class SegmentTrial(Decision, tag="segment_trial"):
-    """A request with a segment in quarantine is admitted as a trial.
+class QuarantineTrial(Decision, tag="quarantine_trial"):
+    """A request with a trait in quarantine is admitted as a trial.
 
     Attributes:
         request: Id of the request.
-        segment: Id of the segment.
+        trait: The trait.
         failed_trials: Number of trials before that crashed an engine.
         crash_age_ms: Time since the last crash.
     """
 
     request: str
-    segment: str
+    trait: str
     failed_trials: int
     crash_age_ms: float
 
@@ -548,8 +548,8 @@
     StateLearned,
     EndpointUnreachable,
     EngineCrashed,
-    SegmentQuarantined,
-    SegmentTrial,
+    QuarantineTrial,
+    Quarantined,
     EndpointReachable,
     EndpointLeaving,
     EndpointLimited,
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/_explain.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/_explain.py
@@ -24,7 +24,7 @@
         "endpoint_unreachable",
         "endpoint_reachable",
         "engine_crashed",
-        "segment_quarantined",
+        "quarantined",
         "peer_lost",
         "cell_changed",
         "store_lost",
@@ -162,8 +162,8 @@
         return "key_unknown", f"configuration {version} has no such key"
     if reason == "not_found":
         return "route_unknown", f"configuration {version} has no such route"
-    if reason == "prompt_quarantined":
-        return "prompt_quarantined", str(failed.fields["detail"])
+    if reason == "quarantined":
+        return "quarantined", str(failed.fields["detail"])
     if reason == "memory_unavailable":
         return "memory_full", "no endpoints had enough free memory in time"
     return None
@@ -173,25 +173,25 @@
     request_lines: _Lines, state_events: _Lines, lines: _Lines
 ) -> _Cause:
     """Finds the crashes that the request's own prompt may have caused."""
-    segments = {
+    traits = {
         s
         for x in request_lines
         if x.event == "placed"
-        for s in x.fields.get("segments", ())
+        for s in x.fields.get("traits", ())
     }
     quarantined = [
         x
         for x in state_events
-        if x.event == "segment_quarantined"
+        if x.event == "quarantined"
         and not x.fields["released"]
-        and segments.issuperset(x.fields["segments"])
+        and traits.issuperset(x.fields["traits"])
     ]
     if not quarantined or not any(
         x.event in ("repeated", "failed") for x in request_lines
     ):
         return None
-    segment = quarantined[0].fields["segment"]
-    return "prompt_crashes_engines", f"engines crash on segment {segment}"
+    trait = quarantined[0].fields["trait"]
+    return "prompt_crashes_engines", f"engines crash on trait {trait}"
 
 
 def _find_unreachable_endpoint(
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/tests/test_explain.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/tests/test_explain.py
@@ -82,28 +82,28 @@
     ]
 
 
-def quarantined(time_ms, segments, released=False):
-    return line("segment_quarantined", time_ms, segment=segments[0],
-                segments=segments, released=released)  # fmt: skip
+def quarantined(time_ms, traits, released=False):
+    return line("quarantined", time_ms, trait=traits[0],
+                traits=traits, released=released)  # fmt: skip
 
 
 def test_prompts_that_crash_engines_are_told_from_their_victims():
     lines = [
         line("placed", 1.0, request="p", endpoint="e", helpers=[],
-             segments=["f", "s"]),
+             traits=["f", "s"]),
         line("placed", 1.0, request="v", endpoint="e", helpers=[],
-             segments=["f"]),
+             traits=["f"]),
         line("engine_crashed", 2.0, endpoint="e", attempts=[], suspects=[]),
         line("failed", 3.0, request="p", reason="endpoint_failed",
              detail="closed", config_version=1),
         line("failed", 3.0, request="v", reason="endpoint_failed",
              detail="closed", config_version=1),
         quarantined(4.0, ["s"]),
-        line("failed", 5.0, request="q", reason="prompt_quarantined",
-             detail="segment s", config_version=1),
+        line("failed", 5.0, request="q", reason="quarantined",
+             detail="trait s", config_version=1),
     ]  # fmt: skip
     assert diagnosis.explain("p", lines).cause == "prompt_crashes_engines"
     assert diagnosis.explain("v", lines).cause == "endpoint_broke_off"
-    assert diagnosis.explain("q", lines).cause == "prompt_quarantined"
+    assert diagnosis.explain("q", lines).cause == "quarantined"
     shown = [x.event for x in diagnosis.explain("v", lines).timeline]
     assert "engine_crashed" in shown
