Charge the retry budget for arrivals only

A connection that was not made is no arrival at an engine, which is what the budget bounds. The test fails before (503 instead of 200).

--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -353,7 +353,9 @@
         if cfg.find_route(request.meta.host, request.meta.path) is None:
             return False
         service, instances = request.service.name, self.peers.fleet_size()
-        if not self.budget.take(service, now_ms, instances):
+        # The budget bounds arrivals; without a connection there was none.
+        is_arrival = not isinstance(exc, base.EndpointUnreachableError)
+        if is_arrival and not self.budget.take(service, now_ms, instances):
             self.metrics.count("retry_budget_empty")
             return False
         self.metrics.count(f"repeated.{exc.code}")
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -637,3 +637,15 @@
     quarantine = system.forwarder.guard.quarantine
     assert not quarantine.entries
     assert not quarantine.unexplained()
+
+
+def test_refused_connections_leave_the_retry_budget_to_others(
+    system, endpoints, answers
+):
+    endpoints[0].server.close()
+    endpoints[1].handler = answers.complete
+    system.apply_state()
+    system.forwarder.budget.slack = system.forwarder.budget.ratio = 0.0
+    assert system.call("/once/x").status == 200
+    system.health.mark_reachable("e0")
+    assert system.call("/again/x").status == 200
