Send nothing to an entry whose endpoint was replaced at its address

Callers got 503 while sound engines were free: an engine that crashes is often back at its address under a new id before its entry goes, and says with 421 that it is not the one that was meant. The next request went to the same entry again. Now one such answer takes the entry out of use, here at once and on the cell by a datagram, until it is written again, a later incarnation registers, the store starts a new era, or the endpoint itself answers. It also shows that what ran at the former process has ended, which is reported as its crash.

--- a/packages/hollycart-core/src/hollycart_core/placement/_restrictions.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_restrictions.py
@@ -1,4 +1,4 @@
-"""Endpoints that have asked not to be sent requests."""
+"""Endpoints that must not be sent requests, by what they have responded."""
 
 from typing import NamedTuple
 
@@ -16,6 +16,7 @@
     born_ms: int
     leaving: bool = False
     paused_until_ms: float = float("-inf")
+    replaced: tuple[int, int] | None = None
 
 
 class EndpointRestrictions:
@@ -23,8 +24,10 @@
 
     An endpoint that is leaving gets no new requests for the rest of its
     incarnation, whatever the directory lists. An endpoint that asks for a pause
-    gets none until the pause ends. A new incarnation, recognised by its later
-    start, starts without restrictions.
+    gets none until the pause ends. If another endpoint responded at its
+    address, its entry is out of date and it gets none until the entry is
+    written again. A new incarnation, recognised by its later start, starts
+    without restrictions.
 
     Example:
         >>> endpoint = _types.Endpoint("e", "1:1", "s", "z", 8, born_ms=5)
@@ -79,6 +82,48 @@
         self._store(endpoint.id, known._replace(paused_until_ms=until_ms))
         return True
 
+    def record_replaced(
+        self, endpoint_id: str, born_ms: int, written: tuple[int, int]
+    ) -> bool:
+        """Records that another endpoint responded at an endpoint's address.
+
+        Args:
+            endpoint_id: Id of the endpoint that was expected there.
+            born_ms: Start of its incarnation.
+            written: Era and revision of the entry that is out of date.
+
+        Returns:
+            Whether this was not known before.
+        """
+        known = self._of_incarnation(endpoint_id, born_ms)
+        if known is None or (
+            known.replaced is not None and known.replaced >= written
+        ):
+            return False
+        self._store(endpoint_id, known._replace(replaced=written))
+        return True
+
+    def record_present(self, endpoint: _types.Endpoint) -> bool:
+        """Records that an endpoint itself responded at its address.
+
+        Returns:
+            Whether its entry had counted as out of date.
+        """
+        known = self._current(endpoint)
+        if known is None or known.replaced is None:
+            return False
+        self._store(endpoint.id, known._replace(replaced=None))
+        return True
+
+    def is_replaced(self, endpoint: _types.Endpoint) -> bool:
+        """Returns whether the entry of an endpoint is out of date."""
+        known = self._current(endpoint)
+        return (
+            known is not None
+            and known.replaced is not None
+            and endpoint.written <= known.replaced
+        )
+
     def is_leaving(self, endpoint: _types.Endpoint) -> bool:
         """Returns whether a listed endpoint is leaving."""
         known = self._current(endpoint)
@@ -93,6 +138,7 @@
         """Returns whether a listed endpoint accepts new requests."""
         return (
             not self.is_leaving(endpoint)
+            and not self.is_replaced(endpoint)
             and self.pause_left_ms(endpoint, now_ms) == 0.0
         )
 
--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -17,6 +17,8 @@
         leaving: Whether it is being drained and receives no new requests.
         born_ms: Unix time of its start, in ms; 0 if unknown. An endpoint that
             starts again under the same id has a later one.
+        written: Era and revision at which its entry was last written; they
+            grow with each write.
     """
 
     id: str
@@ -26,6 +28,7 @@
     slots: int
     leaving: bool = False
     born_ms: int = 0
+    written: tuple[int, int] = (0, 0)
 
 
 class Prompt(NamedTuple):
--- a/packages/hollycart-core/src/hollycart_core/placement/tests/test_restrictions.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/test_restrictions.py
@@ -62,3 +62,27 @@
     assert one.pause_left_ms(endpoint, 0.0) == other.pause_left_ms(
         endpoint, 0.0
     )
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(0, 2), st.integers(0, 5))),
+    st.tuples(st.integers(0, 2), st.integers(0, 5)),
+)
+def test_replaced_endpoint_is_used_only_if_its_entry_was_written_later(
+    replaced, written
+):
+    restrictions = placement.EndpointRestrictions()
+    for entry in replaced:
+        restrictions.record_replaced("e", 0, entry)
+    endpoint = ENDPOINT._replace(written=written)
+    is_later = all(written > entry for entry in replaced)
+    assert restrictions.accepts(endpoint, 0.0) == is_later
+    assert restrictions.record_present(endpoint) == bool(replaced)
+    assert restrictions.accepts(endpoint, 0.0)
+
+
+def test_replaced_endpoint_that_starts_again_is_used():
+    restrictions = placement.EndpointRestrictions()
+    restrictions.record_replaced("e", 3, (0, 9))
+    assert not restrictions.accepts(ENDPOINT._replace(born_ms=3), 0.0)
+    assert restrictions.accepts(ENDPOINT._replace(born_ms=4), 0.0)
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -409,6 +409,8 @@
             return _failures.HelperRejectedError(
                 f"{detail} because of helper {helper.id}", helper.id
             )
+    if response.misdirected:
+        return _failures.EndpointReplacedError(detail, _failures.RETRY_AFTER_MS)
     # The endpoint's Retry-After binds this instance, not the caller: another
     # endpoint may accept the request sooner.
     return base.NotExecutedError(detail, _failures.RETRY_AFTER_MS)
--- a/packages/hollycart/src/hollycart/gateway/_codec.py
+++ b/packages/hollycart/src/hollycart/gateway/_codec.py
@@ -78,6 +78,8 @@
         leaving: Whether the endpoint that responded states that it is leaving.
         limit_per_s: Requests a second that the endpoint accepts from all
             instances together; None if it names no limit.
+        misdirected: Whether another endpoint than the one that was expected
+            responded.
     """
 
     request_id: str
@@ -88,6 +90,7 @@
     faulty_endpoint: str = ""
     leaving: bool = False
     limit_per_s: float | None = None
+    misdirected: bool = False
 
 
 class EndpointLoad(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_failures.py
+++ b/packages/hollycart/src/hollycart/gateway/_failures.py
@@ -38,6 +38,12 @@
         self.endpoint_id = endpoint_id
 
 
+class EndpointReplacedError(base.NotExecutedError):
+    """Another endpoint responded at the address of the one that was chosen."""
+
+    code = "endpoint_replaced"
+
+
 class MemoryUnavailableError(base.NotExecutedError):
     """KV-cache memory for a prompt is not available; none stays reserved."""
 
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -104,6 +104,7 @@
             platform_state,
             peers.broadcast_leaving,
             peers.broadcast_limit,
+            peers.broadcast_replaced,
             log,
             metrics,
             clock,
@@ -186,6 +187,9 @@
         self.peers.subscribe(
             _messages.EndpointLeaving, self._handle_leaving_announced
         )
+        self.peers.subscribe(
+            _messages.EndpointReplaced, self._handle_replaced_announced
+        )
         self.permits.subscribe()
         self.guard.subscribe()
 
@@ -197,6 +201,14 @@
             message.endpoint, message.born_ms, message.sender
         )
 
+    def _handle_replaced_announced(
+        self, message: _messages.EndpointReplaced, ip: str
+    ) -> None:
+        del ip
+        self.notices.record_announced_replaced(
+            message.endpoint, message.born_ms, message.written, message.sender
+        )
+
     def close(self) -> None:
         """Stops the probes and closes idle connections."""
         self.monitor.close()
@@ -488,6 +500,12 @@
         if isinstance(exc, _failures.HelperRejectedError):
             progress.excluded.add(exc.endpoint_id)
             self.monitor.schedule_probe(exc.endpoint_id)
+        elif isinstance(exc, _failures.EndpointReplacedError):
+            progress.excluded.add(endpoint_id)
+            self.notices.record_replaced(chosen.endpoint)
+            # What ran there has ended with the former process.
+            self.crash_watch.handle_refused(endpoint_id)
+            self.dependencies.abort_dependents(endpoint_id)
         elif isinstance(exc, base.EndpointUnreachableError):
             progress.excluded.add(endpoint_id)
             if isinstance(exc.__cause__, TimeoutError):
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -195,6 +195,22 @@
     born_ms: int
 
 
+class EndpointReplaced(msgspec.Struct, tag="o", array_like=True):
+    """Announces that another endpoint responded at an endpoint's address.
+
+    Attributes:
+        sender: Name of the instance.
+        endpoint: Id of the endpoint that was expected there.
+        born_ms: Start of its incarnation, Unix time in ms; 0 if unknown.
+        written: Era and revision of the entry that is out of date.
+    """
+
+    sender: str
+    endpoint: str
+    born_ms: int
+    written: tuple[int, int]
+
+
 class EndpointLimit(msgspec.Struct, array_like=True):
     """What an endpoint said about the limit on its rate of requests.
 
@@ -370,6 +386,7 @@
     | StateChanged
     | EndpointSuspected
     | EndpointLeaving
+    | EndpointReplaced
     | EndpointLimited
     | PermitQuery
     | PermitReply
--- a/packages/hollycart/src/hollycart/gateway/_notices.py
+++ b/packages/hollycart/src/hollycart/gateway/_notices.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from absl import logging
+
 from hollycart import observe
 from hollycart.gateway import _codec
 from hollycart.gateway import _state
@@ -15,8 +17,9 @@
 class EndpointNotices:
     """Records that endpoints are leaving, ask for a pause or limit their rate.
 
-    An endpoint that is leaving, or changes its limit, is announced to the cell.
-    A pause binds only the instance that got the response.
+    An endpoint that is leaving, changes its limit, or has been replaced at its
+    address is announced to the cell. A pause binds only the instance that got
+    the response.
 
     Args:
         codec: Translates the platform's messages.
@@ -26,6 +29,8 @@
         announce_leaving: Announces a leaving endpoint, by id and start, to the
             other instances.
         announce_limit: Announces a changed limit to the other instances.
+        announce_replaced: Announces an endpoint whose entry is out of date to
+            the other instances.
         log: Decision log.
         metrics: Receives counts.
         clock: Source of time.
@@ -39,6 +44,7 @@
         platform_state: _state.PlatformState,
         announce_leaving: Callable[[str, int], None],
         announce_limit: Callable[[placement.RateStatement], None],
+        announce_replaced: Callable[[placement.Endpoint], None],
         log: observe.DecisionLog,
         metrics: observe.Metrics,
         clock: base.Clock,
@@ -49,6 +55,7 @@
         self.platform_state = platform_state
         self.announce_leaving = announce_leaving
         self.announce_limit = announce_limit
+        self.announce_replaced = announce_replaced
         self.log = log
         self.metrics = metrics
         self.clock = clock
@@ -82,11 +89,36 @@
             and response.retry_after_ms is not None
         ):
             self._record_pause(endpoint, response.retry_after_ms)
+        if (
+            response.sealed
+            and response.request_id == request_id
+            and self.restrictions.record_present(endpoint)
+        ):
+            logging.info("%s responds again under its id", endpoint.id)
         # The time of a response to another request is not known.
         if response.request_id == request_id or not response.request_id:
             self._record_limit(endpoint, response, sent_ms)
         return response
 
+    def record_replaced(self, endpoint: placement.Endpoint) -> None:
+        """Records that another endpoint responded at an endpoint's address."""
+        if self.restrictions.record_replaced(
+            endpoint.id, endpoint.born_ms, endpoint.written
+        ):
+            self._log_replaced(endpoint.id, endpoint.written, "response")
+            self.announce_replaced(endpoint)
+
+    def record_announced_replaced(
+        self,
+        endpoint_id: str,
+        born_ms: int,
+        written: tuple[int, int],
+        sender: str,
+    ) -> None:
+        """Records an outdated entry that another instance announced."""
+        if self.restrictions.record_replaced(endpoint_id, born_ms, written):
+            self._log_replaced(endpoint_id, written, sender)
+
     def record_announced(
         self, endpoint_id: str, born_ms: int, sender: str
     ) -> None:
@@ -135,6 +167,14 @@
             )
         )
 
+    def _log_replaced(
+        self, endpoint_id: str, written: tuple[int, int], source: str
+    ) -> None:
+        self.metrics.count("endpoint_replaced")
+        self.log.write(
+            observe.decisions.EndpointReplaced(endpoint_id, *written, source)
+        )
+
     def _log_leaving(self, endpoint_id: str, born_ms: int, source: str) -> None:
         listed = self.platform_state.endpoints.get(endpoint_id)
         age_ms = self.platform_state.freshness.age_ms(self.clock.now_ms())
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -343,6 +343,15 @@
             self.addresses(),
         )
 
+    def broadcast_replaced(self, endpoint: placement.Endpoint) -> None:
+        """Announces to the cell that an endpoint's entry is out of date."""
+        self._send(
+            _messages.EndpointReplaced(
+                self.name, endpoint.id, endpoint.born_ms, endpoint.written
+            ),
+            self.addresses(),
+        )
+
     def broadcast_limit(self, statement: placement.RateStatement) -> None:
         """Announces to the cell that an endpoint changed its limit."""
         limit = _messages.pack_limit(statement, self.clock.now_ms())
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -87,6 +87,7 @@
             self.state,
             self.peers.broadcast_leaving,
             self.peers.broadcast_limit,
+            self.peers.broadcast_replaced,
             log,
             metrics,
             clock,
--- a/packages/hollycart/src/hollycart/observe/_decisions.py
+++ b/packages/hollycart/src/hollycart/observe/_decisions.py
@@ -253,6 +253,25 @@
     endpoint: str
 
 
+class EndpointReplaced(Decision, tag="endpoint_replaced"):
+    """Another endpoint responded at an endpoint's address.
+
+    The endpoint gets no more requests until its entry is written again.
+
+    Attributes:
+        endpoint: Id of the endpoint that was expected there.
+        era: Era of the store in which its entry was last written.
+        revision: Revision at which it was.
+        source: `response` if this instance got the response, else the instance
+            that announced it.
+    """
+
+    endpoint: str
+    era: int
+    revision: int
+    source: str
+
+
 class EndpointLeaving(Decision, tag="endpoint_leaving"):
     """An endpoint stated that it is leaving; it gets no more requests.
 
@@ -552,6 +571,7 @@
     Quarantined,
     EndpointReachable,
     EndpointLeaving,
+    EndpointReplaced,
     EndpointLimited,
     EndpointPaused,
     PermitRefused,
