Count one crash for each incarnation of an engine; soak with repeated requests

Attempts sent after the crash of an incarnation are no suspects now, until it answers again. The test fails before.

The soak gains engines_crash_on_request: the engines of one route crash on one request that its caller sends again and again. Its callers send a body of their own with each other request.

--- a/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
@@ -28,6 +28,8 @@
 _COMMON_SEGMENT = "5e"  # of all prompts
 # Share of the streams whose prompts crash engines, while there are such.
 _CRASHING_SHARE = 0.2
+# Share of the requests that are the one that crashes engines.
+_REPEATED_SHARE = 0.1
 _CALLER_TIMEOUT_MS = {"stream": 10000.0, "again": 3000.0, "once": 3000.0}
 # Prompt lengths in tokens, and their shares. The longest prompt needs the
 # memory of several engines. Prefill takes a third of the time of six engines
@@ -68,17 +70,22 @@
         rng = self.rng
         kind = rng.choice(_REQUEST_KINDS)
         team = self._choose_team()
+        repeated = self._draw_crashing_request()
+        if repeated is not None:
+            kind, team = repeated.kind, repeated.team
         instance, address = self.choose()
         request_id = f"{self._run_id}{next(self._request_numbers):08x}"
         tokens = 0
-        if kind == "stream":
+        if repeated is not None and kind == "stream":
+            tokens = _PROMPT_TOKENS[0]
+        elif kind == "stream":
             (tokens,) = rng.choices(_PROMPT_TOKENS, _PROMPT_SHARES)
         crash_segment = self._draw_crash_segment(kind)
         segments = (_COMMON_SEGMENT, team)
         caller_timeout_ms = _CALLER_TIMEOUT_MS[kind]
         head = hollycart_standins.encode_request(
             request_id,
-            f"/{kind}/{request_id}",
+            f"/{kind}/{repeated.body if repeated else request_id}",
             self.keys[team],
             caller_timeout_ms,
             tokens,
@@ -91,6 +98,8 @@
         )
         start_ms = self.clock.wall_ms()
         attempt = _Attempt(self.clock, request_id, address)
+        if repeated is not None:
+            attempt.body = repeated.body.encode()
         attempt.run(
             head,
             abandon_after_ms
@@ -113,7 +122,7 @@
                 abandoned,
                 attempt.retry_after_ms,
                 attempt.first_byte_ms,
-                bool(crash_segment),
+                bool(crash_segment) or repeated is not None,
             )
         )
 
@@ -135,6 +144,12 @@
             return ""
         return self.record.crash_segment
 
+    def _draw_crashing_request(self) -> _record.CrashingRequest | None:
+        """Returns the request that crashes engines, some of the times."""
+        if self.rng.random() >= _REPEATED_SHARE:
+            return None
+        return self.record.crashing_request
+
     def _choose_team(self) -> str:
         """Returns a team; sometimes the one whose key was revoked last."""
         revoked = [t for t, _ in self.record.revoked_teams]
@@ -149,6 +164,7 @@
     ) -> None:
         self.clock = clock
         self.request_id = request_id
+        self.body = b"prompt " + request_id.encode()
         self.conn = connections.ClientConnection(address, clock)
         self.status = 0
         self.complete = False
@@ -162,7 +178,7 @@
         end_ms = self.clock.now_ms() + timeout_ms
         try:
             self.conn.start(_CONNECT_TIMEOUT_MS)
-            self.conn.send(head, b"prompt", _SEND_TIMEOUT_MS)
+            self.conn.send(head, self.body, _SEND_TIMEOUT_MS)
             response_head = self.conn.read_head(
                 max(1.0, end_ms - self.clock.now_ms())
             )
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -5,6 +5,7 @@
 import pathlib
 from typing import Any
 from typing import NamedTuple
+from typing import NoReturn
 
 from eventlet import semaphore
 import msgspec
@@ -67,6 +68,8 @@
         clock: Source of time.
         crash_segment: Segment on which the process ends as soon as it starts to
             decode; empty for none.
+        crash_body: Body of a request on which the process ends while it runs;
+            empty for none.
     """
 
     def __init__(
@@ -78,8 +81,10 @@
         journal: pathlib.Path,
         clock: base.Clock,
         crash_segment: str = "",
+        crash_body: bytes = b"",
     ) -> None:
         self.crash_segment = crash_segment
+        self.crash_body = crash_body
         self.engine_id = engine_id
         self.parameters = parameters
         self.slots = slots
@@ -129,11 +134,10 @@
         if req.operation:
             self._handle_reservation(exchange, req)
             return
-        is_crashing = bool(self.crash_segment) and (
-            self.crash_segment in req.segments
-        )
-        if is_crashing:
+        if self._has_crash_segment(req):
             self._write_journal("crashing", req)
+        if self._has_crash_body(exchange):
+            self._write_journal("repeated", req)
         wrong_incarnation = req.endpoint_id not in ("", self.engine_id)
         pause_s = 0.0 if wrong_incarnation else self.faults.pause_s
         if wrong_incarnation or pause_s or self._waiting >= _MAX_QUEUED:
@@ -171,6 +175,8 @@
                 self._stream(exchange, req, self.parameters)
             else:
                 self.clock.sleep_ms(_PLAIN_SERVICE_TIME_MS)
+                if self._has_crash_body(exchange):
+                    self._crash("repeated_crash", req)
                 fields = self._encode_success(req, False)
                 exchange.respond(200, fields, response_body(req.request_id))
         except connections.CallerGoneError:
@@ -178,6 +184,19 @@
             raise
         self._write_journal("end", req)
 
+    def _has_crash_segment(self, req: hollycart_standins.EngineRequest) -> bool:
+        return bool(self.crash_segment) and self.crash_segment in req.segments
+
+    def _has_crash_body(self, exchange: connections.Exchange) -> bool:
+        return bool(self.crash_body) and exchange.body == self.crash_body
+
+    def _crash(
+        self, event: str, req: hollycart_standins.EngineRequest
+    ) -> NoReturn:
+        self.clock.sleep_ms(_CRASH_DELAY_MS)
+        self._write_journal(event, req)
+        os._exit(_CRASH_CODE)
+
     def _encode_success(
         self, req: hollycart_standins.EngineRequest, stream: bool
     ) -> connections.Headers:
@@ -198,10 +217,10 @@
             self.clock.sleep_ms(
                 model.prefill_ms(req.prompt_tokens, req.prefill_engine_count)
             )
-        if self.crash_segment and self.crash_segment in req.segments:
-            self.clock.sleep_ms(_CRASH_DELAY_MS)
-            self._write_journal("crash", req)
-            os._exit(_CRASH_CODE)
+        if self._has_crash_segment(req):
+            self._crash("crash", req)
+        if self._has_crash_body(exchange):
+            self._crash("repeated_crash", req)
         last_number = event_count(req.request_id)
         closes_inside_event = self.faults.closes_inside_event
         response: connections.Exchange | _unframed.UnframedResponse = exchange
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -85,6 +85,7 @@
             "datagram_flood": self._datagram_flood,
             "store_restored": self._store_restored,
             "engines_crash_on_segment": self._engines_crash_on_segment,
+            "engines_crash_on_request": self._engines_crash_on_request,
             "engine_leaves": self._engine_leaves,
             "engine_vanishes": self._engine_vanishes,
             "store_down": lambda: self._store_down(_STORE_OUTAGE_S),
@@ -326,6 +327,28 @@
         self.system.restart_engines(service)
         return ""
 
+    def _engines_crash_on_request(self) -> str:
+        """Lets the engines of a route crash on one request that is repeated."""
+        kind = self.rng.choice(("stream", "again", "once"))
+        service = _configuration.MODEL_SERVICE
+        if kind != "stream":
+            service = self.system.plain_service
+        body = f"{self.rng.getrandbits(32):08x}"
+        revoked = {team for team, _ in self.record.revoked_teams}
+        team = self.rng.choice(sorted(set(self.system.keys) - revoked))
+        self.system.crash_body = body
+        self.system.restart_engines(service)
+        eventlet.sleep(_ENGINE_START_S)
+        self.record.crashing_request = _record.CrashingRequest(kind, team, body)
+        self.record.crashing_kind = kind
+        for _ in range(round(_CRASHING_S / _ENGINE_DOWN_S)):
+            eventlet.sleep(_ENGINE_DOWN_S)
+            self.system.restart_crashed(service)
+        self.record.crashing_request = None
+        self.system.crash_body = ""
+        self.system.restart_engines(service)
+        return ""
+
     def _engine_leaves(self) -> str:
         engine = self._choose_engine()
         acked_ms = self.system.put_endpoint(engine, True)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -42,6 +42,7 @@
         "leaving by its word gets nothing",
         "a pause is kept",
         "prompts that crash engines are kept away",
+        "requests that crash engines are kept away",
         "a limit is kept",
         "memory comes back",
         "refusals say when",
@@ -129,10 +130,10 @@
         _check_abandoned_calls(record, checkers["work ends with its caller"])
     _check_notices(record, checkers)
     _check_limits(record, checkers)
-    if any(e.event == "crash" for e in record.journal_entries):
-        _crashing.check_crashing_prompts(
-            record, checkers["prompts that crash engines are kept away"]
-        )
+    for rule in (_crashing.PROMPTS, _crashing.REQUESTS):
+        if any(e.event == rule.crash for e in record.journal_entries):
+            name = f"{rule.subject} that crash engines are kept away"
+            _crashing.check_crashing(record, rule, checkers[name])
     for name, code in record.exits:
         checkers["stopped in time"].check(code == 0, f"{name} exit {code}")
     for name, count in record.held.items():
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
@@ -23,7 +23,7 @@
         retry_after_ms: Value of Retry-After, in ms; None without the header.
         first_byte_ms: Time to the first byte of the body, in ms; None without a
             body.
-        crashes_engines: Whether its prompt crashes engines.
+        crashes_engines: Whether it crashes engines.
     """
 
     request_id: str
@@ -42,6 +42,20 @@
     crashes_engines: bool = False
 
 
+class CrashingRequest(NamedTuple):
+    """A request that callers send again and again and that crashes engines.
+
+    Attributes:
+        kind: Kind of the route.
+        team: Team that sends it.
+        body: Its body.
+    """
+
+    kind: str
+    team: str
+    body: str
+
+
 class JournalEntry(NamedTuple):
     """One entry of an engine's journal.
 
@@ -51,7 +65,8 @@
         event: `run` (started), `end` (finished), `gone` (the caller left),
             `leaving` (started, and the response states that the engine is
             leaving), `crashing` (a prompt arrived that crashes the engine),
-            `crash` (the engine crashes on it), `pause`
+            `crash` (the engine crashes on it), `repeated` and `repeated_crash`
+            (the same for a request that is sent again and again), `pause`
             (rejected, with a pause of `PAUSE_S`) or `limited` (answered with
             the limit `LIMIT_PER_S`).
         request_id: Id that the caller gave to the attempt.
@@ -121,6 +136,8 @@
             name.
         loop_delays: Late rounds that the instances logged.
         crash_segment: Segment on which engines crash now; empty for none.
+        crashing_request: Request on which they do; None for none.
+        crashing_kind: Kind of the route of the last such request.
     """
 
     def __init__(self) -> None:
@@ -136,3 +153,5 @@
         self.peak_memory_mb: dict[str, float] = {}
         self.loop_delays: list[LoopDelay] = []
         self.crash_segment = ""
+        self.crashing_request: CrashingRequest | None = None
+        self.crashing_kind = ""
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -53,6 +53,7 @@
         proxies: Proxies in front of the engines by engine id.
         crash_segment: Segment on which the engines crash that are started from
             now on; empty for none.
+        crash_body: Body of a request on which they do; empty for none.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.endpoints: dict[str, placement.Endpoint] = {}
         self.proxies: dict[str, _proxy.FaultProxy] = {}
         self.crash_segment = ""
+        self.crash_body = ""
         self._targets: dict[str, str] = {}
         self._client = http.HttpClient()
         self._clock = base.SystemClock()
@@ -371,6 +373,8 @@
                 "--prompts" if serves_prompts else "--no-prompts",
                 "--crash-segment",
                 self.crash_segment,
+                "--crash-body",
+                self.crash_body,
             ),
             self.folder,
         )
--- a/packages/hollycart-bench/src/hollycart_bench/standin.py
+++ b/packages/hollycart-bench/src/hollycart_bench/standin.py
@@ -129,6 +129,7 @@
     journal: str,
     prompts: bool = True,
     crash_segment: str = "",
+    crash_body: str = "",
 ) -> None:
     """Runs an engine that speaks the platform's protocol.
 
@@ -138,6 +139,7 @@
         journal: File that records what the engine has run.
         prompts: Whether it serves prompts with streamed answers.
         crash_segment: Segment of a prompt on which it crashes; empty for none.
+        crash_body: Body of a request on which it crashes; empty for none.
     """
     soak.SoakEngine(
         address,
@@ -147,6 +149,7 @@
         pathlib.Path(journal),
         base.SystemClock(),
         crash_segment,
+        crash_body.encode(),
     ).start()
     _sleep_forever()
 
--- a/packages/hollycart-core/src/hollycart_core/crashes/_attempt_log.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/_attempt_log.py
@@ -17,6 +17,9 @@
 # Time for which an attempt that was cut off is kept, in ms: probes that find
 # out whether its engine crashed take less.
 _CUT_RETENTION_MS = 2000.0
+# Incarnations whose crash is remembered: attempts that are sent there later,
+# since a proxy still accepts connections, did not cause it.
+_MAX_CRASHED = 256
 
 
 class TrackedAttempt(NamedTuple):
@@ -75,6 +78,7 @@
     def __init__(self) -> None:
         self._attempts: dict[str, TrackedAttempt] = {}
         self._crashed_ms: dict[str, float] = {}
+        self._first_crash_ms: dict[tuple[str, int], float] = {}
 
     def start(self, attempt_id: str, attempt: TrackedAttempt) -> None:
         """Adds an attempt that is sent now."""
@@ -109,6 +113,7 @@
         if began_ms is not None and now_ms - began_ms < ONSET_MS:
             return None
         self._attempts[attempt_id] = attempt._replace(is_sound=True)
+        self._first_crash_ms.pop((attempt.endpoint, attempt.born_ms), None)
         return attempt
 
     def waiting(
@@ -129,6 +134,17 @@
         crashed_ms = self._crashed_ms.get(endpoint, float("-inf"))
         return now_ms - crashed_ms <= SAME_CRASH_MS
 
+    def is_suspect(self, attempt_id: str) -> bool:
+        """Returns whether an attempt that was cut may have caused the crash."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or attempt.cut_ms is None:
+            return False
+        incarnation = (attempt.endpoint, attempt.born_ms)
+        first_ms = self._first_crash_ms.get(incarnation, float("inf"))
+        return attempt.sent_ms <= first_ms and attempt.may_have_crashed(
+            attempt.cut_ms
+        )
+
     def cut(self, attempt_id: str, now_ms: float) -> None:
         """Records that the engine broke off an attempt."""
         attempt = self._attempts.get(attempt_id)
@@ -164,6 +180,12 @@
         attempts = list(found.values())
         self._crashed_ms[endpoint] = now_ms
         at_ms = min((a.cut_ms for a in attempts if a.cut_ms), default=now_ms)
+        incarnation = (endpoint, attempts[0].born_ms)
+        first_ms = self._first_crash_ms.setdefault(incarnation, at_ms)
+        if len(self._first_crash_ms) > _MAX_CRASHED:
+            del self._first_crash_ms[next(iter(self._first_crash_ms))]
+        if all(a.sent_ms > first_ms for a in attempts):
+            return None
         return _types.EngineCrash(
             endpoint,
             attempts[0].born_ms,
@@ -172,7 +194,9 @@
             tuple(
                 _types.SuspectAttempt(attempt_id, a.traits, a.sent_ms)
                 for attempt_id, a in found.items()
-                if a.traits and a.may_have_crashed(a.cut_ms or at_ms)
+                if a.traits
+                and a.sent_ms <= first_ms
+                and a.may_have_crashed(a.cut_ms or at_ms)
             ),
         )
 
--- a/packages/hollycart-core/src/hollycart_core/crashes/_crash_history.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/_crash_history.py
@@ -431,10 +431,18 @@
 
 
 def _is_same(crash: _types.EngineCrash, other: _types.EngineCrash) -> bool:
+    """Returns whether two reports are of one crash.
+
+    An incarnation crashes once. Without a known start, an endpoint may have
+    started again under its id.
+    """
     return (
         crash.endpoint == other.endpoint
         and crash.born_ms == other.born_ms
-        and abs(crash.at_ms - other.at_ms) <= _attempt_log.SAME_CRASH_MS
+        and (
+            crash.born_ms != 0
+            or abs(crash.at_ms - other.at_ms) <= _attempt_log.SAME_CRASH_MS
+        )
     )
 
 
@@ -443,10 +451,14 @@
 ) -> _types.EngineCrash:
     """Returns a crash with what two instances report of it."""
     ids = {s.attempt_id for s in known.suspects}
-    added = tuple(s for s in other.suspects if s.attempt_id not in ids)
-    return known._replace(
-        at_ms=min(known.at_ms, other.at_ms), suspects=known.suspects + added
+    at_ms = min(known.at_ms, other.at_ms)
+    added = tuple(
+        s
+        for s in other.suspects
+        if s.attempt_id not in ids
+        and s.sent_ms <= at_ms + _attempt_log.SAME_CRASH_MS
     )
+    return known._replace(at_ms=at_ms, suspects=known.suspects + added)
 
 
 def _is_one_request(trait: str, run: Sequence[_types.EngineCrash]) -> bool:
--- a/packages/hollycart-core/src/hollycart_core/crashes/tests/test_attempt_log.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/tests/test_attempt_log.py
@@ -54,3 +54,23 @@
     assert log.collect("e", 100.0) is not None
     assert log.has_crashed("e", 900.0)
     assert not log.has_crashed("e", 3000.0)
+
+
+def test_attempt_sent_to_an_engine_that_has_crashed_is_no_suspect():
+    """A proxy accepts connections for the engine, and cuts them."""
+    log = crashes.AttemptLog()
+    log.start("a", tracked(100.0))
+    log.cut("a", 200.0)
+    assert len(log.collect("e", 205.0).suspects) == 1
+    log.remove("a")
+    log.start("b", tracked(1500.0))
+    log.cut("b", 1600.0)
+    assert log.collect("e", 1605.0) is None
+    assert not log.is_suspect("b")
+    log.remove("b")
+    log.start("c", tracked(3000.0))
+    log.record_first_event("c", 3050.0)
+    log.prove_sound("c", 4000.0)
+    log.start("d", tracked(4100.0))
+    log.cut("d", 4200.0)
+    assert [s.attempt_id for s in log.collect("e", 4205.0).suspects] == ["d"]
--- a/packages/hollycart/src/hollycart/gateway/_crash_watch.py
+++ b/packages/hollycart/src/hollycart/gateway/_crash_watch.py
@@ -142,7 +142,7 @@
             self.find_out(attempt.endpoint)
         if not self.has_crashed(attempt.endpoint):
             return CutCause.OTHER
-        if attempt.may_have_crashed(attempt.cut_ms):
+        if self._attempts.is_suspect(attempt_id):
             return CutCause.CRASH_OF_SUSPECT
         return CutCause.CRASH
 
