--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -156,23 +156,35 @@
     record.faults.append(soak.Fault("engine_limits", "e-0", 50000.0, 60000.0))
     record.journal_entries.append(RUN._replace(event="limited", at_ms=55000.0))
     add_crashes(record, crashes=1, late=0)
+    add_crashes(record, crashes=1, late=0, what="request")
     assert set(soak.check_guarantees(record)) == set(soak.GUARANTEES)
 
 
-def add_crashes(record, crashes, late):
-    """Adds crashes on prompts, and prompts that arrive too late after them."""
+def add_crashes(record, crashes, late, what="segment"):
+    """Adds crashes, and arrivals that are too late after them.
+
+    Args:
+        record: The record.
+        crashes: Number of crashes.
+        late: Number of arrivals.
+        what: What the engines crash on, `segment` or `request`.
+    """
+    arrival, crash = {
+        "segment": ("crashing", "crash"),
+        "request": ("repeated", "repeated_crash"),
+    }[what]
     times = [20000.0 + 500.0 * n for n in range(crashes)]
     for number, at_ms in enumerate(times):
-        for event in ("crashing", "crash"):
+        for event in (arrival, crash):
             record.journal_entries.append(
                 soak.JournalEntry(at_ms, "e-0", event, f"c{number}", "t")
             )
     for number in range(late):
         record.journal_entries.append(
-            soak.JournalEntry(30000.0, "e-0", "crashing", f"l{number}", "t")
+            soak.JournalEntry(30000.0, "e-0", arrival, f"l{number}", "t")
         )
     record.faults.append(
-        soak.Fault("engines_crash_on_segment", "", 20000.0, 40000.0)
+        soak.Fault(f"engines_crash_on_{what}", "", 20000.0, 40000.0)
     )
 
 
@@ -188,6 +200,18 @@
     assert (name in violated(record)) == is_violated
 
 
+@pytest.mark.parametrize(
+    ("crashes", "late", "is_violated"),
+    [(3, 3, False), (3, 4, True), (2, 4, False)],
+)
+def test_requests_that_crash_engines_reach_them_too_late(
+    record, crashes, late, is_violated
+):
+    add_crashes(record, crashes, late, "request")
+    name = "requests that crash engines are kept away"
+    assert (name in violated(record)) == is_violated
+
+
 def test_sound_streams_are_refused_with_those_that_crash_engines(record):
     name = "prompts that crash engines are kept away"
     add_crashes(record, 5, 0)
