Keep what was answered earlier away for a short time only

A failed trial makes a culprit clear only if it was never answered; the entry says whether it was. The test fails before (20 s instead of 3 s).

--- a/packages/hollycart-core/src/hollycart_core/crashes/_crash_history.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/_crash_history.py
@@ -58,6 +58,7 @@
         last_crash_ms: Instant of the last one.
         is_clear: Whether it was never answered, and no other trait of its kind
             without an answer explains as much.
+        was_answered: Whether it was answered earlier.
     """
 
     service: str
@@ -66,6 +67,7 @@
     generations: int
     last_crash_ms: float
     is_clear: bool
+    was_answered: bool
 
 
 class CrashHistory:
@@ -220,6 +222,7 @@
                     generations,
                     run[-1].at_ms,
                     is_clear,
+                    was_answered,
                 )
             )
             unexplained = unexplained.without(trait)
--- a/packages/hollycart-core/src/hollycart_core/crashes/_quarantine.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/_quarantine.py
@@ -9,8 +9,9 @@
 
 # Time after the last crash after which one request is admitted again, as a
 # trial, in ms: for a clear culprit, and for one that is not, which many sound
-# requests may need. A failed trial makes a culprit clear, each further one
-# multiplies the time by the factor, up to the maximum.
+# requests may need. A failed trial makes a culprit clear that was never
+# answered. Each further one multiplies the time by the factor, up to the
+# maximum.
 _FIRST_TRIAL_MS = 20_000.0
 _FIRST_TRIAL_UNCLEAR_MS = 1000.0
 _TRIAL_FACTOR = 3.0
@@ -38,6 +39,7 @@
         trial_delay_ms: Time from the last crash to the next trial, in ms.
         last_crash_ms: Instant of the last crash.
         trial_by: Instance that runs the present trial; empty for none.
+        was_answered: Whether requests with it were answered before the crashes.
     """
 
     service: str
@@ -50,6 +52,7 @@
     trial_delay_ms: float
     last_crash_ms: float
     trial_by: str = ""
+    was_answered: bool = False
 
 
 class Quarantine:
@@ -282,6 +285,7 @@
                 known.failed_trials if known else 0,
                 delay_ms,
                 culprit.last_crash_ms,
+                was_answered=culprit.was_answered,
             )
             self._store(entry)
             added.append(entry)
@@ -319,9 +323,9 @@
     failed_trials, delay_ms = entry.failed_trials, entry.trial_delay_ms
     if is_new and entry.trial_by:
         failed_trials += 1
-        delay_ms = max(
-            _FIRST_TRIAL_MS, min(_MAX_TRIAL_MS, _TRIAL_FACTOR * delay_ms)
-        )
+        delay_ms = min(_MAX_TRIAL_MS, _TRIAL_FACTOR * delay_ms)
+        if not entry.was_answered:
+            delay_ms = max(_FIRST_TRIAL_MS, delay_ms)
     updated = entry._replace(
         traits=traits,
         failed_trials=failed_trials,
@@ -375,4 +379,5 @@
             (known.trial_by, other.trial_by),
             key=lambda name: (not name, name),
         ),
+        was_answered=known.was_answered or other.was_answered,
     )
--- a/packages/hollycart-core/src/hollycart_core/crashes/tests/test_quarantine.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/tests/test_quarantine.py
@@ -194,3 +194,23 @@
         quarantine.record_success("s", "f", 10.0)
         quarantine.record_success("s", "p", 20.0, is_own=False)
     assert blame(quarantine, "p", (100.0, 700.0, 1300.0, 1900.0))
+
+
+@pytest.mark.parametrize(
+    ("answers", "delay_ms"), [(1, 3000.0), (0, FIRST_TRIAL_MS)]
+)
+def test_failed_trial_keeps_away_for_long_only_what_was_never_answered(
+    answers, delay_ms
+):
+    """Many sound requests may need a segment that was answered earlier."""
+    quarantine = crashes.Quarantine()
+    for number in range(20 * answers):
+        quarantine.record_success("s", "o", float(number))
+    for number in range(answers):
+        quarantine.record_success("s", "t", float(number))
+    entry = blame(quarantine, "t", (100.0, 700.0, 1300.0, 1900.0, 2500.0))
+    now_ms = entry.trial_at_ms
+    assert entry.trial_delay_ms == 1000.0
+    assert quarantine.claim_trial(entry, "a", now_ms) is not None
+    quarantine.record_crash(crash(now_ms + 90.0, "t"), now_ms + 90.0)
+    assert quarantine.find("s", "t").trial_delay_ms == delay_ms
--- a/packages/hollycart/src/hollycart/gateway/_crash_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_crash_messages.py
@@ -54,6 +54,7 @@
     trial_delay_ms: float
     crash_age_ms: float
     trial_by: str
+    was_answered: bool = False
 
 
 class CrashEvidence(msgspec.Struct, tag="k", array_like=True):
@@ -124,6 +125,7 @@
         entry.trial_delay_ms,
         now_ms - entry.last_crash_ms,
         entry.trial_by,
+        entry.was_answered,
     )
 
 
@@ -148,4 +150,5 @@
         entry.trial_delay_ms,
         now_ms - entry.crash_age_ms,
         entry.trial_by,
+        entry.was_answered,
     )
