--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -19,6 +19,8 @@
             starts again under the same id has a later one.
         written: Era and revision at which its entry was last written; they
             grow with each write.
+        cold_left_ms: Time for which it stays cold, in ms, as of the write of
+            its entry.
     """
 
     id: str
@@ -29,6 +31,7 @@
     leaving: bool = False
     born_ms: int = 0
     written: tuple[int, int] = (0, 0)
+    cold_left_ms: float = 0.0
 
 
 class Prompt(NamedTuple):
--- a/packages/hollycart-core/src/hollycart_core/routing/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/routing/_types.py
@@ -118,12 +118,18 @@
             model engines.
         health_path: Path at which an endpoint states whether it is healthy;
             empty if there is none.
+        cold_start_ms: Time for which an endpoint is cold after its start, in
+            ms.
+        cold_per_s: Requests a second that a cold endpoint serves, from all
+            instances together; 0 if endpoints of the service are never cold.
     """
 
     name: str
     max_connections: int
     engine: EngineParameters | None = None
     health_path: str = ""
+    cold_start_ms: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Team(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_codec.py
+++ b/packages/hollycart/src/hollycart/gateway/_codec.py
@@ -80,6 +80,8 @@
             instances together; None if it names no limit.
         misdirected: Whether another endpoint than the one that was expected
             responded.
+        cold_left_ms: Time for which the endpoint stays cold, in ms; None if
+            the response does not state it.
     """
 
     request_id: str
@@ -91,6 +93,7 @@
     leaving: bool = False
     limit_per_s: float | None = None
     misdirected: bool = False
+    cold_left_ms: float | None = None
 
 
 class EndpointLoad(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_state.py
+++ b/packages/hollycart/src/hollycart/gateway/_state.py
@@ -1,5 +1,6 @@
 """The platform's state as held by an instance."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 from typing import Protocol
 
@@ -23,6 +24,8 @@
             instances; equal digests mean equal state.
         era: Era of the store at which the state was read.
         config_era: Era of the store in which the configuration was read.
+        evacuated: Era and revision at which the evacuation of an availability
+            zone was requested, by zone.
     """
 
     revision: int
@@ -33,6 +36,7 @@
     digest: int
     era: int = 0
     config_era: int = 0
+    evacuated: Mapping[str, kv.Position] = {}
 
     @property
     def position(self) -> kv.Position:
--- a/packages/hollycart/src/hollycart/observe/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/__init__.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from hollycart.observe import _decisions as decisions
+from hollycart.observe import decisions
 from hollycart.observe._decision_log import DecisionLog
 from hollycart.observe._decision_log import use_decision_log
 from hollycart.observe._events import log_event
--- a/packages/hollycart/src/hollycart/observe/_decision_log.py
+++ b/packages/hollycart/src/hollycart/observe/_decision_log.py
@@ -8,7 +8,7 @@
 from absl import logging
 import msgspec
 
-from hollycart.observe import _decisions
+from hollycart.observe import decisions
 from hollycart_core import base
 
 # Limit for each event. A request causes about three lines.
@@ -18,7 +18,7 @@
 # blocking.
 _WRITE_BYTES = 4096
 _FLUSH_INTERVAL_MS = 100.0
-_NOT_RATE_LIMITED = (_decisions.Failed, _decisions.Suppressed)
+_NOT_RATE_LIMITED = (decisions.Failed, decisions.Suppressed)
 
 
 class DecisionLog:
@@ -67,7 +67,7 @@
         self._report_suppressed()
         self.flush()
 
-    def write(self, decision: _decisions.Decision) -> None:
+    def write(self, decision: decisions.Decision) -> None:
         """Buffers a line unless its event has reached the limit per second."""
         event = str(type(decision).__struct_config__.tag)
         self.counts[event] += 1
@@ -105,9 +105,9 @@
         if self._suppressed:
             counts = dict(self._suppressed)
             self._suppressed.clear()
-            self._append_line("suppressed", _decisions.Suppressed(counts))
+            self._append_line("suppressed", decisions.Suppressed(counts))
 
-    def _append_line(self, event: str, decision: _decisions.Decision) -> None:
+    def _append_line(self, event: str, decision: decisions.Decision) -> None:
         body = self._encoder.encode(decision)
         head = self._encoder.encode(
             {
@@ -141,7 +141,7 @@
             formatter = std_logging.Formatter()
             text += "\n" + formatter.formatException(record.exc_info)
         self.log.write(
-            _decisions.Message(
+            decisions.Message(
                 record.levelname, f"{record.filename}:{record.lineno}", text
             )
         )
