--- a/packages/hollycart/src/hollycart/gateway/__init__.py
+++ b/packages/hollycart/src/hollycart/gateway/__init__.py
@@ -13,6 +13,7 @@
 from hollycart.gateway._codec import ResponseMeta
 from hollycart.gateway._gateway import Gateway
 from hollycart.gateway._settings import GatewaySettings
+from hollycart.gateway._settings import PolicySettings
 from hollycart.gateway._state import Snapshot
 from hollycart.gateway._state import StateDecoder
 
@@ -22,6 +23,7 @@
     "Gateway",
     "GatewaySettings",
     "InstanceAddress",
+    "PolicySettings",
     "RequestCodec",
     "RequestMeta",
     "ResponseMeta",
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -24,6 +24,7 @@
 from hollycart.gateway import _peers
 from hollycart.gateway import _permits
 from hollycart.gateway import _reserver
+from hollycart.gateway import _settings
 from hollycart.gateway import _state
 from hollycart.gateway import _stream_watch
 from hollycart.gateway import _waiting
@@ -65,6 +66,7 @@
         stall_ms: Time for which an engine waits for an unreachable engine,
             in ms.
         hold_max_ms: Longest memory reservation that engines accept, in ms.
+        policy: What the deployment asks of policies under load.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         zone: str,
         stall_ms: float,
         hold_max_ms: float,
+        policy: _settings.PolicySettings | None = None,
     ) -> None:
         self.codec = codec
         self.platform_state = platform_state
@@ -94,6 +97,7 @@
         self.clock = clock
         self.zone = zone
         self.stall_ms = stall_ms
+        self.policy = policy or _settings.PolicySettings()
         self.pool = connections.ConnectionPool(clock)
         self.restrictions = placement.EndpointRestrictions()
         self.limits = placement.EndpointRateLimits()
--- a/packages/hollycart/src/hollycart/gateway/_settings.py
+++ b/packages/hollycart/src/hollycart/gateway/_settings.py
@@ -3,6 +3,32 @@
 from typing import NamedTuple
 
 
+class PolicySettings(NamedTuple):
+    """What a deployment asks of policies under load; by default nothing.
+
+    Attributes:
+        evacuate_ms: Time after which no request may reach the endpoints of an
+            evacuated availability zone, in ms; 0 if none is set.
+        cold_overage: Factor of a service's rate for cold endpoints up to which
+            their requests in any one second may go.
+        cold_slack: Requests in any one second in addition to that, for each
+            cold endpoint and all instances together.
+        memory_bytes: Memory of the process, in bytes; 0 if unknown.
+        tolerated_zones: Number of availability zones whose loss must be borne.
+        fair_shares: Whether teams share capacity that is scarce.
+        cross_zone_cost_per_gb: Loss that a GB between availability zones is
+            worth, in lost requests of weight 1.
+    """
+
+    evacuate_ms: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+    memory_bytes: int = 0
+    tolerated_zones: int = 0
+    fair_shares: bool = False
+    cross_zone_cost_per_gb: float = 0.0
+
+
 class GatewaySettings(NamedTuple):
     """Settings of one instance.
 
@@ -32,17 +58,7 @@
         stall_ms: Time for which an engine waits for an unreachable engine, in
             ms.
         hold_max_ms: Longest memory reservation that engines accept, in ms.
-        evacuate_ms: Time after which no request may reach the endpoints of an
-            evacuated availability zone, in ms; 0 if none is set.
-        cold_overage: Factor of a service's rate for cold endpoints up to which
-            their requests in any one second may go.
-        cold_slack: Requests in any one second in addition to that, for each
-            cold endpoint and all instances together.
-        memory_bytes: Memory of the process, in bytes; 0 if unknown.
-        tolerated_zones: Number of availability zones whose loss must be borne.
-        fair_shares: Whether teams share capacity that is scarce.
-        cross_zone_cost_per_gb: Loss that a GB between availability zones is
-            worth, in lost requests of weight 1.
+        policy: What the deployment asks of policies under load.
     """
 
     name: str
@@ -64,13 +80,7 @@
     retry_slack: float
     stall_ms: float
     hold_max_ms: float
-    evacuate_ms: float = 0.0
-    cold_overage: float = 1.0
-    cold_slack: float = 0.0
-    memory_bytes: int = 0
-    tolerated_zones: int = 0
-    fair_shares: bool = False
-    cross_zone_cost_per_gb: float = 0.0
+    policy: PolicySettings = PolicySettings()
 
 
 # Settings that take effect only at the start of the process.
