Refuse late prompts of teams above their share while capacity is scarce

Cause: prompts were placed without regard to the team, so that one team that sends more than its share made the prompts of all teams late.

Change: with shares asked for by the settings, a prompt that is late in any case is refused with a planned time to return if its team exceeds its share of the work in flight and a team within its share has late prompts. Usage comes from the assignments that are announced anyway.

--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -21,6 +21,9 @@
 from hollycart_core.placement._rate_permits import RatePermits
 from hollycart_core.placement._restrictions import EndpointRestrictions
 from hollycart_core.placement._retry_budget import SharedRetryBudget
+from hollycart_core.placement._team_shares import ReturnTimes
+from hollycart_core.placement._team_shares import TeamUsage
+from hollycart_core.placement._team_shares import measure_usage
 from hollycart_core.placement._types import MIN_RETRY_AFTER_MS
 from hollycart_core.placement._types import Assignment
 from hollycart_core.placement._types import Endpoint
@@ -48,7 +51,9 @@
     "RatePermits",
     "RateStatement",
     "Reservation",
+    "ReturnTimes",
     "SharedRetryBudget",
+    "TeamUsage",
     "UnaccountedLoad",
     "Assignment",
     "attempts_at",
@@ -57,5 +62,6 @@
     "group_zones",
     "least_busy",
     "max_remote_loss",
+    "measure_usage",
     "needs_confirmation",
 ]
--- a/packages/hollycart-core/src/hollycart_core/placement/_search.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_search.py
@@ -294,6 +294,7 @@
             if primary
             else 0,
             weight=prompt.weight,
+            team=prompt.team,
         )
 
     def _part_loss(
--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -46,6 +46,7 @@
         max_gap_ms: Longest acceptable gap between events, in ms.
         zone: Availability zone of the instance that sends the prompt.
         usual_tokens: Mean length of the service's prompts, in tokens.
+        team: Team that is billed; empty if teams do not share capacity.
     """
 
     attempt_id: str
@@ -56,6 +57,7 @@
     max_gap_ms: float
     zone: str = ""
     usual_tokens: float = routing.DEFAULT_USUAL_PROMPT_TOKENS
+    team: str = ""
 
     @property
     def weight(self) -> float:
@@ -93,6 +95,7 @@
         context_tokens: Tokens that each decode step attends to here.
         memory_tokens: KV cache held here, in tokens.
         weight: Weight of the prompt in losses.
+        team: Team that is billed; empty if teams do not share capacity.
     """
 
     attempt_id: str
@@ -107,6 +110,7 @@
     context_tokens: int
     memory_tokens: int
     weight: float
+    team: str = ""
 
 
 class Reservation(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -7,6 +7,7 @@
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
 from hollycart.gateway import _permits
+from hollycart.gateway import _share_guard
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import placement
@@ -29,6 +30,8 @@
         book: Division of the fleet into cells.
         delegator: Offers prompts to other cells.
         zone: Availability zone of this instance.
+        share_guard: Refuses late prompts of teams that exceed their share; None
+            if teams do not share capacity.
 
     Attributes:
         in_flight: Attempts of this instance in flight, by endpoint.
@@ -44,6 +47,7 @@
         book: _address_book.AddressBook,
         delegator: _delegator.Delegator,
         zone: str,
+        share_guard: _share_guard.ShareGuard | None = None,
     ) -> None:
         self.platform_state = platform_state
         self.placer = placer
@@ -52,6 +56,7 @@
         self.permits = permits
         self.book = book
         self.delegator = delegator
+        self.share_guard = share_guard
         self.zone = zone
         self.in_flight: collections.Counter[str] = collections.Counter()
         self._models: dict[routing.EngineParameters, placement.EngineModel] = {}
@@ -138,6 +143,8 @@
                 f"caller leaves in {prompt.remaining_ms:.0f} ms",
                 retry_after_ms,
             )
+        if self.share_guard and not self.delegator.holds(attempt_id):
+            self.share_guard.check(request, progress, prompt, chosen, model)
         return chosen
 
     def place_in_cell(
@@ -226,6 +233,7 @@
             request.route.max_gap_ms,
             self.zone,
             request.service.engine.usual_prompt_tokens,
+            self.share_guard.team_of(request) if self.share_guard else "",
         )
 
     def model(
--- a/packages/hollycart/src/hollycart/gateway/_delegate.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegate.py
@@ -137,6 +137,7 @@
             message.remaining_ms,
             message.max_gap_ms,
             usual_tokens=service.engine.usual_prompt_tokens,
+            team=message.team,
         )
         chosen = self.chooser.place_in_cell(
             service, prompt, set(message.excluded), now_ms
--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -194,6 +194,7 @@
                 prompt.max_gap_ms,
                 sorted(excluded | restricted),
                 max_loss,
+                prompt.team,
             ),
             ip,
         )
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -25,6 +25,7 @@
 from hollycart.gateway import _permits
 from hollycart.gateway import _reserver
 from hollycart.gateway import _settings
+from hollycart.gateway import _share_guard
 from hollycart.gateway import _state
 from hollycart.gateway import _stream_watch
 from hollycart.gateway import _waiting
@@ -147,6 +148,9 @@
             clock,
             rng,
         )
+        self.share_guard = _share_guard.ShareGuard(
+            peers, platform_state, metrics, clock, self.policy
+        )
         self.chooser = _chooser.EndpointChooser(
             platform_state,
             placer,
@@ -156,6 +160,7 @@
             peers.book,
             self.delegator,
             zone,
+            self.share_guard,
         )
         peers.count_open_endpoints = self.chooser.count_open_endpoints
         self._delegate = _delegate.Delegate(
@@ -178,6 +183,11 @@
         )
         self._ids = itertools.count()
 
+    def apply_policy(self, policy: _settings.PolicySettings) -> None:
+        """Applies what the deployment asks of policies under load."""
+        self.policy = policy
+        self.share_guard.policy = policy
+
     def start(self) -> None:
         """Starts the probes of endpoints and the exchange with other cells."""
         self.monitor.start()
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -241,7 +241,7 @@
             cfg.revoke_ms - _REVOCATION_MARGIN_MS
         )
         self.reader.schedule = _read_schedule(cfg)
-        self.forwarder.policy = self.cfg.policy
+        self.forwarder.apply_policy(self.cfg.policy)
         budget = self.forwarder.budget
         budget.ratio = cfg.retry_ratio
         budget.window_ms = cfg.retry_window_ms
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -46,6 +46,7 @@
     max_gap_ms: int
     weight: int
     endpoint_assignments: list[EndpointAssignment]
+    team: str = ""
 
 
 class CellState(msgspec.Struct, array_like=True):
@@ -322,6 +323,7 @@
         excluded: Ids of endpoints that are not to be tried.
         max_loss: Predicted loss above which the sender places the prompt
             itself.
+        team: Team that is billed; empty if teams do not share capacity.
     """
 
     sender: str
@@ -334,6 +336,7 @@
     max_gap_ms: float
     excluded: list[str]
     max_loss: float
+    team: str = ""
 
 
 class PlacementReply(msgspec.Struct, tag="p", array_like=True):
@@ -450,6 +453,7 @@
             )
             for a in assignments
         ],
+        primary.team,
     )
 
 
@@ -483,6 +487,7 @@
             assignment.context_tokens,
             assignment.memory_tokens,
             announced.weight,
+            announced.team,
         )
         for number, assignment in enumerate(announced.endpoint_assignments)
     )
