Confirm parts of long prompts that would stack beside answers in decode

Cause: two instances placed parts of 152 and 140 ms at the same engines within 10 ms. Each part fits beside the answers in decode, both do not, and conflicts were only looked for between a part and new short prompts. Prompts that another cell had offered were not confirmed at all.

Change: a part of which two do not fit into the shortest accepted gap is confirmed; of prompts that meet, the one with the lowest id stays. An instance that is asked to place a prompt of another cell confirms it before it replies. The tests fail without the change.

--- a/packages/hollycart-core/src/hollycart_core/placement/_conflicts.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_conflicts.py
@@ -11,6 +11,11 @@
 # Shortest prefill of a part that may stall other prompts unexpectedly, in ms:
 # it is longer than the gaps that interactive answers accept after a batch step.
 _LONG_PART_MS = 150.0
+# Shares of the gap that an answer in decode accepts: what the prefill in one
+# batch step may take of it, and from which a part leaves no room for another
+# one. The decode in the step and the error of predictions take the rest.
+_MAX_PREFILL_GAP_SHARE = 0.65
+_CONFIRMED_GAP_SHARE = 0.5 * _MAX_PREFILL_GAP_SHARE
 # A slot is contended if at most so many are free after it was taken.
 _CONTENDED_FREE_SLOTS = 1
 
@@ -25,7 +30,9 @@
     The load it answers: prompts arrive at different instances within the time
     of an announcement and meet at an endpoint. Short ones that lack a slot
     wait for the end of a whole answer, and those beside a very long prompt for
-    seconds. Such placements are therefore announced before the prompt is sent,
+    seconds. Parts of two long prompts in one batch step make the gaps of all
+    answers there too long, although each of them alone would not. Such
+    placements are therefore announced before the prompt is sent,
     and made anew if `find_conflicts` finds others that were made meanwhile.
 
     Args:
@@ -33,7 +40,11 @@
         slots: Number of slots of the primary.
         view: Assignments of all instances, those of the prompt included.
     """
-    if any(a.prefill_ms >= _LONG_PART_MS for a in assignments):
+    if any(
+        a.prefill_ms >= _LONG_PART_MS
+        or a.prefill_ms >= _CONFIRMED_GAP_SHARE * _shortest_gap_ms(a, view)
+        for a in assignments
+    ):
         return True
     used = sum(a.primary for a in view.on_endpoint(assignments[0].endpoint))
     return slots - _CONTENDED_FREE_SLOTS <= used <= slots
@@ -64,11 +75,56 @@
         known: Attempts that were known when the prompt was placed.
         view: Assignments of all instances now.
     """
-    return _find_stalled(assignments, known, view) + _find_preceding(
-        assignments[0], slots, known, view
+    return (
+        _find_stalled(assignments, known, view)
+        + _find_stacked(assignments, known, view)
+        + _find_preceding(assignments[0], slots, known, view)
     )
 
 
+def _shortest_gap_ms(
+    assignment: _types.Assignment, view: _load_view.LoadView
+) -> float:
+    """Returns the shortest gap that the answers at an endpoint accept, in ms.
+
+    Infinite if nothing is in decode there.
+    """
+    return min(
+        (
+            other.max_gap_ms
+            for other in view.on_endpoint(assignment.endpoint)
+            if other.decoding and other.primary
+        ),
+        default=float("inf"),
+    )
+
+
+def _find_stacked(
+    assignments: Sequence[_types.Assignment],
+    known: frozenset[str],
+    view: _load_view.LoadView,
+) -> list[str]:
+    """Returns new attempts whose prefill fits beside decode, but not with this.
+
+    Of those that were placed at the same time, the one with the lowest id
+    stays.
+    """
+    stacked: list[str] = []
+    for own in assignments:
+        new = [
+            other
+            for other in view.on_endpoint(own.endpoint)
+            if other.attempt_id not in known
+            and other.attempt_id < own.attempt_id
+            and not other.decoding
+        ]
+        prefill_ms = own.prefill_ms + sum(other.prefill_ms for other in new)
+        allowed_ms = _MAX_PREFILL_GAP_SHARE * _shortest_gap_ms(own, view)
+        if new and prefill_ms > allowed_ms:
+            stacked += [other.attempt_id for other in new]
+    return stacked
+
+
 def _find_stalled(
     assignments: Sequence[_types.Assignment],
     known: frozenset[str],
--- a/packages/hollycart/src/hollycart/gateway/_delegate.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegate.py
@@ -76,12 +76,40 @@
         if chosen is not None and self._is_limited(chosen):
             # The receive loop must not wait for the permit.
             eventlet.spawn_n(self._acquire_and_reply, message, chosen, ip)
+        elif chosen is not None and self._needs_confirmation(chosen):
+            eventlet.spawn_n(self._confirm_and_reply, message, chosen, ip)
         else:
             self._reply(message, chosen, ip)
 
     def _is_limited(self, chosen: placement.Placement) -> bool:
         return self.permits.limits.find(chosen.endpoint) is not None
 
+    def _needs_confirmation(self, chosen: placement.Placement) -> bool:
+        return placement.needs_confirmation(
+            chosen.assignments, chosen.endpoint.slots, self.peers.view
+        )
+
+    def _confirm_and_reply(
+        self,
+        message: _messages.PlacementRequest,
+        chosen: placement.Placement,
+        ip: str,
+    ) -> None:
+        """Announces a placement, and replies once no other one conflicts."""
+        view = self.peers.view
+        known = placement.attempts_at(chosen.assignments, view)
+        self._accept(message, chosen, self.clock.now_ms())
+        self.clock.sleep_ms(placement.ANNOUNCEMENT_LAG_MS)
+        if message.attempt_id not in self._overdue_ms:
+            return  # its caller has left
+        if placement.find_conflicts(
+            chosen.assignments, chosen.endpoint.slots, known, view
+        ):
+            self._remove(message.attempt_id)
+            self._reply(message, self._place(message, self.clock.now_ms()), ip)
+        else:
+            self._send_reply(message, chosen, ip)
+
     def _acquire_and_reply(
         self,
         message: _messages.PlacementRequest,
@@ -103,6 +131,17 @@
         message: _messages.PlacementRequest,
         chosen: placement.Placement | None,
         ip: str,
+    ) -> None:
+        """Announces the placement of a prompt, if there is one, and replies."""
+        if chosen is not None:
+            self._accept(message, chosen, self.clock.now_ms())
+        self._send_reply(message, chosen, ip)
+
+    def _send_reply(
+        self,
+        message: _messages.PlacementRequest,
+        chosen: placement.Placement | None,
+        ip: str,
     ) -> None:
         now_ms = self.clock.now_ms()
         reply = _messages.PlacementReply(
@@ -111,7 +150,6 @@
             _messages.pack_report(self.peers.make_report(), now_ms),
         )
         if chosen is not None:
-            self._accept(message, chosen, now_ms)
             reply.permitted = self._is_limited(chosen)
             reply.assignments = _messages.pack(chosen.assignments, now_ms)
             reply.first_event_ms = chosen.first_event_ms
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -393,6 +393,33 @@
     assert {a.endpoint for a in seen} == used
 
 
+def test_offered_long_prompt_avoids_one_that_was_placed_at_the_same_time():
+    """Guards against parts of two prompts beside the same short answer.
+
+    The prompt of another cell has the higher id, so that it gives way.
+    """
+    fleet = Fleet("ab", 2)
+    entry, asked = fleet.of_zone("a")[0], fleet.of_zone("b")[0]
+    for endpoint in fleet.endpoints:
+        asked.peers.add((fleet.assignment(endpoint, 0),))
+    request = _messages.PlacementRequest(
+        entry.name, "z.1", SERVICE, 150000, 900, 3000.0, 9000.0, 1000.0, [], 9.0
+    )
+    chosen = asked.delegate._place(request, fleet.clock.now_ms())
+    meeting = chosen.assignments[0]
+
+    def place_other():
+        other = meeting._replace(attempt_id="a.1")
+        asked.peers.view.add("b-1", [other])
+
+    asked.delegate.clock = _InterruptedClock(fleet.clock.now_ms(), place_other)
+    asked.delegate._confirm_and_reply(request, chosen, entry.peers.ip)
+    before = {a.endpoint for a in chosen.assignments}
+    used = {a.endpoint for a in asked.peers.view.of_attempt("z.1")}
+    assert meeting.endpoint in before
+    assert meeting.endpoint not in used
+
+
 def test_prompts_that_meet_at_the_last_slot_are_served_at_two_endpoints():
     """Two short prompts arrive within 10 ms when one slot is left."""
     fleet = Fleet("a", 2)
