--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -19,6 +19,8 @@
             starts again under the same id has a later one.
         written: Era and revision at which its entry was last written; they
             grow with each write.
+        cold_left_ms: Time for which it stays cold, in ms, as of the write of
+            its entry.
     """
 
     id: str
@@ -29,6 +31,7 @@
     leaving: bool = False
     born_ms: int = 0
     written: tuple[int, int] = (0, 0)
+    cold_left_ms: float = 0.0
 
 
 class Prompt(NamedTuple):
@@ -43,6 +46,7 @@
         max_gap_ms: Longest acceptable gap between events, in ms.
         zone: Availability zone of the instance that sends the prompt.
         usual_tokens: Mean length of the service's prompts, in tokens.
+        team: Team that is billed; empty if teams do not share capacity.
     """
 
     attempt_id: str
@@ -53,6 +57,7 @@
     max_gap_ms: float
     zone: str = ""
     usual_tokens: float = routing.DEFAULT_USUAL_PROMPT_TOKENS
+    team: str = ""
 
     @property
     def weight(self) -> float:
@@ -90,6 +95,7 @@
         context_tokens: Tokens that each decode step attends to here.
         memory_tokens: KV cache held here, in tokens.
         weight: Weight of the prompt in losses.
+        team: Team that is billed; empty if teams do not share capacity.
     """
 
     attempt_id: str
@@ -104,6 +110,7 @@
     context_tokens: int
     memory_tokens: int
     weight: float
+    team: str = ""
 
 
 class Reservation(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -24,6 +24,8 @@
 from hollycart.gateway import _peers
 from hollycart.gateway import _permits
 from hollycart.gateway import _reserver
+from hollycart.gateway import _settings
+from hollycart.gateway import _share_guard
 from hollycart.gateway import _state
 from hollycart.gateway import _stream_watch
 from hollycart.gateway import _waiting
@@ -65,6 +67,7 @@
         stall_ms: Time for which an engine waits for an unreachable engine,
             in ms.
         hold_max_ms: Longest memory reservation that engines accept, in ms.
+        policy: What the deployment asks of policies under load.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         zone: str,
         stall_ms: float,
         hold_max_ms: float,
+        policy: _settings.PolicySettings | None = None,
     ) -> None:
         self.codec = codec
         self.platform_state = platform_state
@@ -94,6 +98,7 @@
         self.clock = clock
         self.zone = zone
         self.stall_ms = stall_ms
+        self.policy = policy or _settings.PolicySettings()
         self.pool = connections.ConnectionPool(clock)
         self.restrictions = placement.EndpointRestrictions()
         self.limits = placement.EndpointRateLimits()
@@ -143,6 +148,9 @@
             clock,
             rng,
         )
+        self.share_guard = _share_guard.ShareGuard(
+            peers, platform_state, metrics, clock, self.policy
+        )
         self.chooser = _chooser.EndpointChooser(
             platform_state,
             placer,
@@ -152,6 +160,7 @@
             peers.book,
             self.delegator,
             zone,
+            self.share_guard,
         )
         peers.count_open_endpoints = self.chooser.count_open_endpoints
         self._delegate = _delegate.Delegate(
@@ -174,6 +183,11 @@
         )
         self._ids = itertools.count()
 
+    def apply_policy(self, policy: _settings.PolicySettings) -> None:
+        """Applies what the deployment asks of policies under load."""
+        self.policy = policy
+        self.share_guard.policy = policy
+
     def start(self) -> None:
         """Starts the probes of endpoints and the exchange with other cells."""
         self.monitor.start()
