--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -10,6 +10,9 @@
 from hollycart_core.placement._conflicts import find_conflicts
 from hollycart_core.placement._conflicts import needs_confirmation
 from hollycart_core.placement._engine_model import EngineModel
+from hollycart_core.placement._evacuations import ZoneAccess
+from hollycart_core.placement._evacuations import ZoneEvacuation
+from hollycart_core.placement._evacuations import ZoneEvacuations
 from hollycart_core.placement._health import EndpointHealth
 from hollycart_core.placement._least_busy import least_busy
 from hollycart_core.placement._load_view import LoadView
@@ -50,6 +53,9 @@
     "Reservation",
     "SharedRetryBudget",
     "UnaccountedLoad",
+    "ZoneAccess",
+    "ZoneEvacuation",
+    "ZoneEvacuations",
     "Assignment",
     "attempts_at",
     "cell_name",
