Keep requests away from the endpoints of evacuated zones

A test through the forwarder showed that requests of each kind of route reach an endpoint of an evacuated zone. The state now holds the evacuations and updates them with each applied state. Offers neither go to evacuated cells nor accept their endpoints, and an evacuated cell reports no open endpoints. Nothing was sent then, so that the retry budget is not charged.

If all zones of a service are evacuated, requests are refused at once. A restored store's evacuation is never hidden by a deletion in the former era.

--- a/packages/hollycart/src/hollycart/gateway/_admission.py
+++ b/packages/hollycart/src/hollycart/gateway/_admission.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from hollycart.gateway import _codec
+from hollycart.gateway import _evacuation
 from hollycart.gateway import _failures
 from hollycart.gateway import _fingerprint
 from hollycart.gateway import _job
@@ -154,7 +155,8 @@
         """Checks the API key and the endpoints again just before the send.
 
         They may have been removed since the request was admitted, and the
-        endpoints may have asked for no more requests.
+        endpoints may have asked for no more requests, or be in a zone that is
+        evacuated.
 
         Args:
             request: The admitted request.
@@ -171,6 +173,9 @@
         for endpoint in endpoints:
             known = self.platform_state.endpoints.get(endpoint.id)
             if known is not None and self.restrictions.accepts(known, now_ms):
+                _evacuation.check_zone(
+                    self.platform_state.evacuations, known, now_ms
+                )
                 continue
             detail = f"{endpoint.id} is leaving, paused or no longer listed"
             if endpoint is not endpoints[0]:
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -16,6 +16,10 @@
 # of the answers are shorter than expected, some much shorter.
 _RESERVED_DECODE_SHARE = 0.5
 
+_OPEN = placement.ZoneAccess.OPEN
+_LAST_RESORT = placement.ZoneAccess.LAST_RESORT
+_CLOSED = placement.ZoneAccess.CLOSED
+
 
 class EndpointChooser:
     """Chooses by predicted loss for prompts, by load for other requests.
@@ -70,6 +74,7 @@
             OverloadedError: If the caller would abandon the request before the
                 predicted first event, or all endpoints asked for a pause or
                 have reached the limits that they named.
+            ZonesEvacuatedError: If the zones of all endpoints are evacuated.
             MemoryUnavailableError: If no endpoints have enough KV-cache memory
                 now.
         """
@@ -111,6 +116,9 @@
                 )
                 or own
             )
+        chosen = self._avoid_lateness(
+            service, prompt, progress.excluded, chosen, now_ms
+        )
         if chosen is None:
             candidates = self._candidates(
                 service.name, progress.excluded, now_ms
@@ -146,6 +154,7 @@
         prompt: placement.Prompt,
         excluded: set[str],
         now_ms: float,
+        last_resort: bool = False,
     ) -> placement.Placement | None:
         """Returns the best placement in the own cell, if there is one.
 
@@ -154,11 +163,12 @@
             prompt: The prompt.
             excluded: Ids of endpoints that are not to be tried.
             now_ms: Current instant.
+            last_resort: Whether zones may be used that are being evacuated.
         """
         assert service.engine is not None
         usable = [
             e
-            for e in self._accepting(service.name, now_ms)
+            for e in self._accepting(service.name, now_ms, last_resort)
             if e.id not in excluded and self.book.is_in_cell(e.zone)
         ]
         healthy = [e for e in usable if self.health.usable(e.id, now_ms)]
@@ -171,6 +181,44 @@
             self._primary_only(candidates),
         )
 
+    def _avoid_lateness(
+        self,
+        service: routing.Service,
+        prompt: placement.Prompt,
+        excluded: set[str],
+        chosen: placement.Placement | None,
+        now_ms: float,
+    ) -> placement.Placement | None:
+        """Returns a placement in zones being evacuated if it is late elsewhere.
+
+        Args:
+            service: Service of the prompt.
+            prompt: The prompt.
+            excluded: Ids of endpoints that are not to be tried.
+            chosen: Best placement outside these zones; None if there is none.
+            now_ms: Current instant.
+
+        Returns:
+            The better of the two; None if there is none.
+        """
+        if chosen is not None and chosen.first_event_ms <= prompt.target_ms:
+            return chosen
+        evacuations = self.platform_state.evacuations
+        if not any(
+            evacuations.access(zone, now_ms) is _LAST_RESORT
+            for zone in evacuations.in_force()
+        ):
+            return chosen
+        own = self.place_in_cell(service, prompt, excluded, now_ms, True)
+        if own is None:
+            return chosen
+        if chosen is not None:
+            if chosen.predicted_loss <= own.predicted_loss:
+                return chosen
+            if self.delegator.holds(prompt.attempt_id):
+                self.delegator.remove(prompt.attempt_id)
+        return own
+
     def count_open_endpoints(self, now_ms: float) -> dict[str, int]:
         """Returns the number of open endpoints of the own cell, by service."""
         cfg = self.platform_state.config
@@ -257,7 +305,7 @@
     def _candidates(
         self, service: str, excluded: set[str], now_ms: float
     ) -> list[placement.Endpoint]:
-        accepting = self._accepting(service, now_ms)
+        accepting = self._accepting(service, now_ms, last_resort=True)
         usable = [e for e in accepting if e.id not in excluded]
         if not accepting:
             self._check_waits(service, now_ms)
@@ -267,7 +315,13 @@
                 _failures.RETRY_AFTER_MS,
             )
         healthy = [e for e in usable if self.health.usable(e.id, now_ms)]
-        return healthy or usable
+        best = healthy or usable
+        return [e for e in best if self._access(e, now_ms) is _OPEN] or best
+
+    def _access(
+        self, endpoint: placement.Endpoint, now_ms: float
+    ) -> placement.ZoneAccess:
+        return self.platform_state.evacuations.access(endpoint.zone, now_ms)
 
     def _listed(self, service: str) -> list[placement.Endpoint]:
         return [
@@ -277,12 +331,14 @@
         ]
 
     def _accepting(
-        self, service: str, now_ms: float
+        self, service: str, now_ms: float, last_resort: bool = False
     ) -> list[placement.Endpoint]:
+        allowed = (_OPEN, _LAST_RESORT) if last_resort else (_OPEN,)
         return [
             e
             for e in self.platform_state.endpoints.values()
             if e.service == service
+            and self._access(e, now_ms) in allowed
             and self.restrictions.accepts(e, now_ms)
             and self.permits.wait_ms(e, now_ms) == 0.0
         ]
@@ -303,11 +359,20 @@
         """Refuses the request if no endpoint of the service accepts any now.
 
         The load it answers: all engines are full, and ask for a pause or have
-        reached their limits. A request that waited would only hold its caller.
+        reached their limits, or their zones are evacuated. A request that
+        waited would only hold its caller.
         """
         listed = self._listed(service)
         if not listed:
             return
+        zones = {e.zone for e in listed if self._access(e, now_ms) is _CLOSED}
+        listed = [e for e in listed if e.zone not in zones]
+        if not listed:
+            raise _failures.ZonesEvacuatedError(
+                f"all zones with endpoints of service {service} are "
+                f"evacuated: {', '.join(sorted(zones))}",
+                _failures.EVACUATED_RETRY_AFTER_MS,
+            )
         earliest_ms = min(
             max(
                 self.restrictions.pause_left_ms(e, now_ms),
--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -86,7 +86,12 @@
         max_loss = placement.max_remote_loss(prompt, own)
         if max_loss is None:
             return None
-        cells = sorted(self.peers.book.other_cells)
+        now_ms = self.clock.now_ms()
+        cells = sorted(
+            name
+            for name, zones in self.peers.book.other_cells.items()
+            if any(self._is_open(zone, now_ms) for zone in zones)
+        )
         for _ in range(_MAX_OFFERS):
             cell = self.peers.directory.choose(
                 service, cells, self.clock.now_ms(), self.rng
@@ -102,6 +107,11 @@
                 return chosen
         return None
 
+    def _is_open(self, zone: str, now_ms: float) -> bool:
+        """Returns whether no evacuation of a zone is in force."""
+        access = self.platform_state.evacuations.access(zone, now_ms)
+        return access is placement.ZoneAccess.OPEN
+
     def _offer_to(
         self,
         cell: str,
@@ -178,7 +188,11 @@
         restricted = {
             e.id
             for e in self.platform_state.endpoints.values()
-            if e.service == service and not self.restrictions.accepts(e, now_ms)
+            if e.service == service
+            and not (
+                self.restrictions.accepts(e, now_ms)
+                and self._is_open(e.zone, now_ms)
+            )
         }
         replied = event.Event()
         self._awaited[prompt.attempt_id] = replied
@@ -225,6 +239,7 @@
             or not self.restrictions.accepts(
                 known[a.endpoint], self.clock.now_ms()
             )
+            or not self._is_open(known[a.endpoint].zone, self.clock.now_ms())
             for a in assignments
         ):
             self._report_progress(reply.attempt_id, ip, ended=True)
--- a/packages/hollycart/src/hollycart/gateway/_failures.py
+++ b/packages/hollycart/src/hollycart/gateway/_failures.py
@@ -3,6 +3,9 @@
 from hollycart_core import base
 
 RETRY_AFTER_MS = 250.0  # retry hint for requests that were not executed
+# The same while all zones of a service are evacuated: its end is learned within
+# about this time.
+EVACUATED_RETRY_AFTER_MS = 1000.0
 
 
 class EndpointLostError(base.EndpointFailedError):
@@ -44,6 +47,18 @@
     code = "endpoint_replaced"
 
 
+class EndpointEvacuatedError(base.NotExecutedError):
+    """The zone of an endpoint is evacuated; nothing was sent to it."""
+
+    code = "endpoint_evacuated"
+
+
+class ZonesEvacuatedError(base.NoEndpointError):
+    """All availability zones with endpoints of the service are evacuated."""
+
+    code = "zones_evacuated"
+
+
 class MemoryUnavailableError(base.NotExecutedError):
     """KV-cache memory for a prompt is not available; none stays reserved."""
 
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -15,6 +15,7 @@
 from hollycart.gateway import _crash_watch
 from hollycart.gateway import _delegate
 from hollycart.gateway import _delegator
+from hollycart.gateway import _evacuation
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
 from hollycart.gateway import _liveness
@@ -98,6 +99,10 @@
         self.zone = zone
         self.stall_ms = stall_ms
         self.policy = policy or _settings.PolicySettings()
+        platform_state.evacuations.evacuate_ms = self.policy.evacuate_ms
+        self.evacuation = _evacuation.EvacuationWatch(
+            platform_state, log, metrics, clock
+        )
         self.pool = connections.ConnectionPool(clock)
         self.restrictions = placement.EndpointRestrictions()
         self.limits = placement.EndpointRateLimits()
@@ -181,6 +186,7 @@
     def start(self) -> None:
         """Starts the probes of endpoints and the exchange with other cells."""
         self.monitor.start()
+        self.evacuation.start()
         self._delegate.start()
         self.subscribe()
 
@@ -216,6 +222,7 @@
     def close(self) -> None:
         """Stops the probes and closes idle connections."""
         self.monitor.close()
+        self.evacuation.close()
         self._delegate.close()
         self.pool.close()
 
@@ -369,8 +376,11 @@
         if cfg.find_route(request.meta.host, request.meta.path) is None:
             return False
         service, instances = request.service.name, self.peers.fleet_size()
-        # The budget bounds arrivals; without a connection there was none.
-        is_arrival = not isinstance(exc, base.EndpointUnreachableError)
+        # The budget bounds arrivals; if nothing was sent there was none.
+        is_arrival = not isinstance(
+            exc,
+            (base.EndpointUnreachableError, _failures.EndpointEvacuatedError),
+        )
         if is_arrival and not self.budget.take(service, now_ms, instances):
             self.metrics.count("retry_budget_empty")
             return False
@@ -503,6 +513,8 @@
         """
         endpoint_id = chosen.endpoint.id
         now_ms = self.clock.now_ms()
+        if isinstance(exc, _failures.EndpointEvacuatedError):
+            return  # no endpoint of the zone is chosen again
         if isinstance(exc, _failures.HelperRejectedError):
             progress.excluded.add(exc.endpoint_id)
             self.monitor.schedule_probe(exc.endpoint_id)
@@ -546,6 +558,7 @@
         now_ms: float,
     ) -> None:
         cfg = self.platform_state.config
+        self.evacuation.record_placement(request.service.name, chosen)
         self.log.write(
             observe.decisions.Placed(
                 request.meta.request_id,
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -242,6 +242,9 @@
         )
         self.reader.schedule = _read_schedule(cfg)
         self.forwarder.policy = self.cfg.policy
+        self.platform_state.evacuations.evacuate_ms = (
+            self.cfg.policy.evacuate_ms
+        )
         budget = self.forwarder.budget
         budget.ratio = cfg.retry_ratio
         budget.window_ms = cfg.retry_window_ms
@@ -279,6 +282,7 @@
     def _apply_change(self) -> None:
         self._apply_limits()
         self._apply_cells()
+        self.forwarder.evacuation.refresh()
         self.forwarder.health.follow_incarnations(
             self.platform_state.endpoints.values()
         )
@@ -347,6 +351,9 @@
             "datagrams_malformed": float(self.peers.malformed),
             "load_updates_foreign": float(self.peers.foreign_updates),
             "endpoints": float(len(self.platform_state.endpoints)),
+            "zones_evacuated": float(
+                len(self.platform_state.evacuations.in_force())
+            ),
             "endpoints_restricted": float(
                 sum(
                     not self.forwarder.restrictions.accepts(e, now_ms)
@@ -391,5 +398,6 @@
             cfg.config_apply_ms,
             cfg.drain_ms,
             cfg.revoke_ms - _REVOCATION_MARGIN_MS,
+            cfg.policy.evacuate_ms or float("inf"),
         )
     )
--- a/packages/hollycart/src/hollycart/gateway/_history.py
+++ b/packages/hollycart/src/hollycart/gateway/_history.py
@@ -70,7 +70,8 @@
         """Returns a number that only grows with the values of a key.
 
         Returns:
-            The number, 0 for keys without one, None for a malformed value.
+            The number, 0 for keys without one, None for a value that replaces
+            no other: a malformed one, and one whose key alone counts.
         """
 
 
--- a/packages/hollycart/src/hollycart/gateway/_liveness.py
+++ b/packages/hollycart/src/hollycart/gateway/_liveness.py
@@ -101,10 +101,16 @@
         return None
 
     def _may_query(self, endpoint: placement.Endpoint) -> bool:
-        """Returns whether the endpoint has asked for no pause and no limit."""
+        """Returns whether the endpoint may be sent a query.
+
+        Not if it has asked for a pause or a limit, or its zone is evacuated.
+        """
         now_ms = self.clock.now_ms()
-        return self.notices.limits.find(
-            endpoint
-        ) is None and not self.notices.restrictions.pause_left_ms(
-            endpoint, now_ms
+        access = self.notices.platform_state.evacuations.access(
+            endpoint.zone, now_ms
+        )
+        return (
+            self.notices.limits.find(endpoint) is None
+            and not self.notices.restrictions.pause_left_ms(endpoint, now_ms)
+            and access is not placement.ZoneAccess.CLOSED
         )
--- a/packages/hollycart/src/hollycart/gateway/_reserver.py
+++ b/packages/hollycart/src/hollycart/gateway/_reserver.py
@@ -4,6 +4,7 @@
 import eventlet
 
 from hollycart.gateway import _codec
+from hollycart.gateway import _evacuation
 from hollycart.gateway import _failures
 from hollycart.gateway import _notices
 from hollycart_core import base
@@ -55,12 +56,18 @@
         Raises:
             MemoryUnavailableError: If an endpoint does not grant its
                 reservation; the others are released.
+            EndpointEvacuatedError: If the zone of an endpoint is closed.
         """
         requested: list[placement.Reservation] = []
         try:
             for reservation in sorted(
                 reservations, key=lambda r: r.endpoint.id
             ):
+                _evacuation.check_zone(
+                    self.notices.platform_state.evacuations,
+                    reservation.endpoint,
+                    self.clock.now_ms(),
+                )
                 requested.append(reservation)
                 if not self._reserve_at_endpoint(reservation_id, reservation):
                     raise _failures.MemoryUnavailableError(
--- a/packages/hollycart/src/hollycart/gateway/_state.py
+++ b/packages/hollycart/src/hollycart/gateway/_state.py
@@ -75,6 +75,9 @@
             longer accepted, in ms.
         reregistration_ms: Time after a store outage for which missing
             endpoints are retained, in ms.
+
+    Attributes:
+        evacuations: Availability zones whose endpoints get no more requests.
     """
 
     def __init__(self, max_age_ms: float, reregistration_ms: float) -> None:
@@ -83,6 +86,7 @@
         self.raw: _history.RawState | None = None
         self.snapshot: Snapshot | None = None
         self.endpoints: dict[str, placement.Endpoint] = {}
+        self.evacuations = placement.ZoneEvacuations()
         self._outage_ended_ms = float("-inf")
         self._retained_until_ms: dict[str, float] = {}
 
@@ -136,6 +140,13 @@
                 )
         self.raw = raw
         self.snapshot = snapshot
+        self.evacuations.update(
+            snapshot.evacuated,
+            snapshot.position,
+            # The new state is confirmed only after this.
+            now_ms - self.freshness.age_ms(now_ms),
+            now_ms,
+        )
         self._update_endpoints(snapshot, now_ms)
         return True
 
--- a/packages/hollycart/src/hollycart/gateway/_survey.py
+++ b/packages/hollycart/src/hollycart/gateway/_survey.py
@@ -85,6 +85,10 @@
             if self.notices.restrictions.accepts(e, self.clock.now_ms())
             and self.notices.limits.find(e) is None
             and self.peers.book.is_in_cell(e.zone)
+            and self.platform_state.evacuations.access(
+                e.zone, self.clock.now_ms()
+            )
+            is placement.ZoneAccess.OPEN
             and e.service in cfg.services
             and cfg.services[e.service].engine is not None
         ]
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -360,7 +360,14 @@
         self.peers.close()
         self.forwarder.close()
 
-    def apply_state(self, config=None, listed_endpoints=None, confirmed=True):
+    def apply_state(
+        self,
+        config=None,
+        listed_endpoints=None,
+        confirmed=True,
+        evacuated=(),
+        era=0,
+    ):
         self.revision += 1
         snapshot = gateway.Snapshot(
             self.revision,
@@ -373,8 +380,10 @@
             ),
             {},
             self.revision,
+            era,
+            evacuated={z: kv.Position(era, self.revision) for z in evacuated},
         )
-        raw = _history.RawState(kv.RangeResult(self.revision, ()), 0)
+        raw = _history.RawState(kv.RangeResult(self.revision, (), era), 0)
         now_ms = self.clock.now_ms()
         self.platform_state.apply(raw, snapshot, now_ms)
         if confirmed:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -479,3 +479,65 @@
     assert len(instance.peers.addresses()) == 7
     instance.peers.set_cells((frozenset("a"), frozenset("b")))
     assert set(instance.peers.live()) == {"a-1", "a-2", "a-3"}
+
+
+def _evacuate(fleet, instances, zone):
+    for instance in instances:
+        known = instance.state.snapshot
+        position = kv.Position(0, known.revision + 1)
+        instance.state.apply(
+            instance.state.raw,
+            known._replace(
+                revision=position.revision,
+                digest=position.revision,
+                evacuated={zone: position},
+            ),
+            fleet.clock.now_ms(),
+        )
+
+
+def test_prompt_is_not_offered_to_a_cell_that_is_evacuated(two_cells):
+    entry = two_cells.of_zone("a")[1]
+    _evacuate(two_cells, [entry], "b")
+    two_cells.network.datagrams.clear()
+    assert _offer(two_cells, entry) is None
+    assert not two_cells.network.datagrams
+
+
+def test_cell_that_is_evacuated_declines_offers(two_cells):
+    """The instance that offers has not learned of the evacuation yet."""
+    _evacuate(two_cells, two_cells.of_zone("b"), "b")
+    assert _offer(two_cells, two_cells.of_zone("a")[1]) is None
+
+
+def test_cell_that_is_evacuated_has_no_open_endpoints(two_cells):
+    instance = two_cells.of_zone("b")[0]
+    assert instance.peers.make_report().open_endpoints == {SERVICE: 10}
+    _evacuate(two_cells, [instance], "b")
+    assert instance.peers.make_report().open_endpoints == {SERVICE: 0}
+
+
+def test_offer_accepted_in_a_zone_evacuated_meanwhile_is_withdrawn(two_cells):
+    """The cell that accepts has not learned of the evacuation yet."""
+    entry = two_cells.of_zone("a")[1]
+    ask = entry.delegator._ask
+
+    def ask_and_evacuate(*args):
+        reply = ask(*args)
+        _evacuate(two_cells, [entry], "b")
+        return reply
+
+    entry.delegator._ask = ask_and_evacuate
+    assert _offer(two_cells, entry) is None
+    assert not any(
+        i.peers.view.of_attempt("x.1") for i in two_cells.of_zone("b")
+    )
+
+
+def test_prompt_of_an_evacuated_cell_is_offered_to_another():
+    fleet = Fleet("ab", 4)
+    entry = fleet.of_zone("a")[0]
+    _evacuate(fleet, fleet.of_zone("a"), "a")
+    chosen = _offer(fleet, entry)
+    assert chosen is not None
+    assert chosen.endpoint.zone == "b"
--- a/packages/hollycart/src/hollycart/gateway/tests/test_history.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_history.py
@@ -76,6 +76,14 @@
     assert merged(raw) == {"config": (b"7", 1)}
 
 
+def test_value_without_precedence_is_never_hidden_by_its_deletion(history):
+    """An evacuation is written before any instance reads the new era."""
+    history.update(read(1, 90, a=(b"bad", 80)))
+    history.update(read(1, 95))
+    raw = history.update(read(2, 85, a=(b"bad", 85)))
+    assert merged(raw) == {"a": (b"bad", 2)}
+
+
 def test_late_answer_of_an_earlier_era_is_ignored(history):
     history.update(read(1, 100))
     history.update(read(2, 90))
--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -401,3 +401,55 @@
     reader._heard_peer = True
     reader._query_peers(clock.now_ms())
     assert len(reader._peers.queried) == 2
+
+
+class EvacuationDecoder(Decoder):
+    """Decodes each key as a zone that is evacuated."""
+
+    def decode(self, contents):
+        evacuated = {i.key: i.position for i in contents.items}
+        return super().decode(contents)._replace(evacuated=evacuated)
+
+
+def test_bound_of_an_evacuation_counts_from_the_last_read_without_it(
+    reader, store, platform_state, clock
+):
+    """The key was written at any time after the start of that read."""
+    reader.decoder = EvacuationDecoder()
+    platform_state.evacuations.evacuate_ms = 5000.0
+    store.contents = kv.RangeResult(1, ())
+    reader._read()
+    last_ms = clock.now_ms()
+    clock.sleep_ms(1200.0)
+    store.contents = kv.RangeResult(2, items("z"))
+    reader._read()
+    clock.sleep_ms(500.0)
+    store.contents = kv.RangeResult(3, items("y", "z"))
+    reader._read()
+    evacuations = platform_state.evacuations.in_force()
+    assert evacuations["z"].clear_ms == last_ms
+    assert evacuations["y"].clear_ms == last_ms + 1200.0
+    access = platform_state.evacuations.access
+    assert access("z", last_ms + 2999.0) is placement.ZoneAccess.LAST_RESORT
+    assert access("z", last_ms + 3000.0) is placement.ZoneAccess.CLOSED
+
+
+def test_first_read_with_an_evacuation_closes_the_zone_at_once(
+    reader, store, platform_state, clock
+):
+    reader.decoder = EvacuationDecoder()
+    platform_state.evacuations.evacuate_ms = 5000.0
+    store.contents = kv.RangeResult(2, items("z"))
+    reader._read()
+    access = platform_state.evacuations.access("z", clock.now_ms())
+    assert access is placement.ZoneAccess.CLOSED
+
+
+def test_changed_evacuations_alone_are_announced(reader, store):
+    changes = []
+    reader.decoder = EvacuationDecoder()
+    reader.on_change = lambda: changes.append(1)
+    for revision, zones in enumerate(((), ("z",), ("y", "z"), ())):
+        store.contents = kv.RangeResult(revision + 1, items(*zones))
+        reader._read()
+    assert len(changes) == 4
--- a/packages/hollycart/src/hollycart/observe/decisions/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/__init__.py
@@ -18,6 +18,9 @@
 from hollycart.observe.decisions._endpoints import EndpointUnreachable
 from hollycart.observe.decisions._endpoints import LoadSurveyed
 from hollycart.observe.decisions._endpoints import PermitRefused
+from hollycart.observe.decisions._evacuations import ZoneEvacuated
+from hollycart.observe.decisions._evacuations import ZoneEvacuationMissing
+from hollycart.observe.decisions._evacuations import ZoneReopened
 from hollycart.observe.decisions._lifecycle import Draining
 from hollycart.observe.decisions._lifecycle import LoopDelayed
 from hollycart.observe.decisions._lifecycle import Message
@@ -64,6 +67,9 @@
     EndpointLimited,
     EndpointPaused,
     PermitRefused,
+    ZoneEvacuated,
+    ZoneEvacuationMissing,
+    ZoneReopened,
     PeerFound,
     PeerLost,
     CellChanged,
@@ -123,4 +129,7 @@
     "StoreRegained",
     "StoreRestored",
     "Suppressed",
+    "ZoneEvacuated",
+    "ZoneEvacuationMissing",
+    "ZoneReopened",
 ]
