Name evacuated zones as causes, and evacuate one in the soak

hollycartctl explain names the evacuation if a request was refused, sent back before the send, short of endpoints or queued while a zone was evacuated. The soak has the fault zone_evacuated: engines record each arrival, and none may lie more than the bound after the store's acknowledgement.

--- a/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
@@ -11,6 +11,7 @@
 from hollycart_bench.soak._judge import check_guarantees
 from hollycart_bench.soak._proxy import FaultProxy
 from hollycart_bench.soak._record import Call
+from hollycart_bench.soak._record import Evacuation
 from hollycart_bench.soak._record import Fault
 from hollycart_bench.soak._record import JournalEntry
 from hollycart_bench.soak._record import LoopDelay
@@ -20,6 +21,7 @@
 __all__ = [
     "GUARANTEES",
     "Call",
+    "Evacuation",
     "Fault",
     "FaultProxy",
     "JournalEntry",
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -134,6 +134,7 @@
         if req.operation:
             self._handle_reservation(exchange, req)
             return
+        self._write_journal("arrived", req)
         if self._has_crash_segment(req):
             self._write_journal("crashing", req)
         if self._has_crash_body(exchange):
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -29,6 +29,7 @@
 _ENGINE_DOWN_S = 2.0  # at most, after a crash
 _CRASHING_S = 16.0  # longer than until a crashing segment has to be known
 _FAULT_INTERVAL_S = 1.5
+_EVACUATION_S = 12.0  # requests have to move within 5 s
 _RESTORE_S = 1.0  # for which the store is away before it comes back older
 # Faults of instances that overlap with all other ones.
 _OVERLAPPING = frozenset(("kill", "freeze", "reload", "store_cut"))
@@ -95,6 +96,7 @@
             "key_revoked": self._key_revoked,
             "key_revoked_while_cut": self._key_revoked_while_cut,
             "routes_moved": self._routes_moved,
+            "zone_evacuated": self._zone_evacuated,
         }
 
     def run(self) -> None:
@@ -430,6 +432,22 @@
         eventlet.sleep(_OBSERVE_S)
         return ""
 
+    def _zone_evacuated(self) -> str:
+        """Evacuates a zone for longer than its requests have to move."""
+        zones = {e.zone for e in self.system.endpoints.values()}
+        zone = self.rng.choice(sorted(zones))
+        acked_ms = self.system.evacuate_zone(zone)
+        eventlet.sleep(_EVACUATION_S)
+        engines = tuple(
+            i for i, e in self.system.endpoints.items() if e.zone == zone
+        )
+        until_ms = self.clock.wall_ms()
+        self.system.evacuate_zone(zone, False)
+        self.record.evacuations.append(
+            _record.Evacuation(zone, engines, acked_ms, until_ms)
+        )
+        return zone
+
 
 def _freeze_process(process: fleet.BenchProcess) -> None:
     process.signal(signal.SIGSTOP)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -4,6 +4,7 @@
 
 from hollycart_bench import checks
 from hollycart_bench.soak import _crashing
+from hollycart_bench.soak import _evacuation
 from hollycart_bench.soak import _record
 
 # Bounds that the platform sets, in ms.
@@ -37,6 +38,7 @@
     (
         "a new configuration is in force",
         "at most once",
+        "evacuated zones get nothing",
         "in time",
         "leaving gets nothing",
         "leaving by its word gets nothing",
@@ -126,6 +128,10 @@
         _check_revoked_keys(record, checkers["revoked keys do not run"])
     if record.moved_services:
         _check_moved_routes(record, checkers["a new configuration is in force"])
+    if record.evacuations:
+        _evacuation.check_evacuations(
+            record, _TOLERANCE_MS, checkers["evacuated zones get nothing"]
+        )
     if any(c.abandoned and _is_fault_free(c, record) for c in record.calls):
         _check_abandoned_calls(record, checkers["work ends with its caller"])
     _check_notices(record, checkers)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
@@ -62,13 +62,13 @@
     Attributes:
         at_ms: Wall-clock time, in ms.
         engine: Id of the engine.
-        event: `run` (started), `end` (finished), `gone` (the caller left),
-            `leaving` (started, and the response states that the engine is
-            leaving), `crashing` (a prompt arrived that crashes the engine),
-            `crash` (the engine crashes on it), `repeated` and `repeated_crash`
-            (the same for a request that is sent again and again), `pause`
-            (rejected, with a pause of `PAUSE_S`) or `limited` (answered with
-            the limit `LIMIT_PER_S`).
+        event: `arrived` (also if it is rejected or waits), `run` (started),
+            `end` (finished), `gone` (the caller left), `leaving` (started, and
+            the response states that the engine is leaving), `crashing` (a
+            prompt arrived that crashes the engine), `crash` (the engine crashes
+            on it), `repeated` and `repeated_crash` (the same for a request that
+            is sent again and again), `pause` (rejected, with a pause of
+            `PAUSE_S`) or `limited` (answered with the limit `LIMIT_PER_S`).
         request_id: Id that the caller gave to the attempt.
         team: Team that the request is billed to.
     """
@@ -100,6 +100,25 @@
     end_ms: float
 
 
+EVACUATE_BOUND_MS = 5000.0  # until an evacuated zone gets no more requests
+
+
+class Evacuation(NamedTuple):
+    """The evacuation of an availability zone.
+
+    Attributes:
+        zone: The zone.
+        engines: Ids of its engines.
+        acked_ms: Wall-clock time at which the store acknowledged it, in ms.
+        until_ms: Wall-clock time at which it was about to be removed, in ms.
+    """
+
+    zone: str
+    engines: tuple[str, ...]
+    acked_ms: float
+    until_ms: float
+
+
 class LoopDelay(NamedTuple):
     """A late round of an instance's event loop.
 
@@ -127,6 +146,7 @@
             acknowledgement, in ms.
         moved_services: Service that requests without a prompt are no longer
             routed to, and the time of the acknowledgement, in ms.
+        evacuations: Evacuations of zones.
         exits: Name and exit code of each instance that was stopped by SIGTERM;
             the code is None if it did not exit in time.
         held: Number of reservations that each engine holds at the end, by id.
@@ -147,6 +167,7 @@
         self.leaving: list[tuple[str, float]] = []
         self.revoked_teams: list[tuple[str, float]] = []
         self.moved_services: list[tuple[str, float]] = []
+        self.evacuations: list[Evacuation] = []
         self.exits: list[tuple[str, int | None]] = []
         self.held: dict[str, int] = {}
         self.direct_ms: list[float] = []
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -159,6 +159,16 @@
         self._put({}, [hollycart_standins.endpoint_key(engine_id)])
         return self._clock.wall_ms()
 
+    def evacuate_zone(self, zone: str, evacuated: bool = True) -> float:
+        """Writes or removes the evacuation of a zone.
+
+        Returns:
+            Wall-clock time of the acknowledgement, in ms.
+        """
+        key = hollycart_standins.evacuation_key(zone)
+        self._put({key: b"{}"} if evacuated else {}, [] if evacuated else [key])
+        return self._clock.wall_ms()
+
     def set_store_faults(
         self, down: bool = False, delay_ms: float = 0.0
     ) -> None:
@@ -411,6 +421,9 @@
             retry_slack=100.0,
             stall_ms=1500.0,
             hold_max_ms=20000.0,
+            policy=gateway.PolicySettings(
+                evacuate_ms=_record.EVACUATE_BOUND_MS
+            ),
         )
         path = self.folder / f"{name}.toml"
         path.write_text(hollycart_standins.encode_settings(cfg))
--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -149,6 +149,7 @@
     record.leaving.append(("e-9", 0.0))
     record.revoked_teams.append(("t9", 0.0))
     record.moved_services.append(("e9", 0.0))
+    record.evacuations.append(soak.Evacuation("a", ("e-9",), 0.0, 0.0))
     record.exits.append(("n0", 0))
     record.held["e-0"] = 0
     for event in ("leaving", "pause"):
@@ -318,3 +319,21 @@
     }
     record.faults.append(soak.Fault("freeze", "n0", 43000.0, 45900.0))
     assert violated(record) == {"memory is bounded"}
+
+
+@pytest.mark.parametrize(
+    ("at_ms", "engine", "late"),
+    [
+        (14000.0, "e-0", False),
+        (15900.0, "e-0", True),
+        (15900.0, "e-1", False),
+        (20100.0, "e-0", False),
+    ],
+)
+def test_request_in_an_evacuated_zone(record, at_ms, engine, late):
+    """Requests may arrive until the bound, and after the evacuation."""
+    record.evacuations.append(soak.Evacuation("a", ("e-0",), 10000.0, 20000.0))
+    record.journal_entries.append(
+        RUN._replace(at_ms=at_ms, engine=engine, event="arrived")
+    )
+    assert ("evacuated zones get nothing" in violated(record)) == late
--- a/packages/hollycart/src/hollycart/gateway/_evacuation.py
+++ b/packages/hollycart/src/hollycart/gateway/_evacuation.py
@@ -64,6 +64,14 @@
         """Stops to look for them."""
         self._task.close()
 
+    def set_bound(self, evacuate_ms: float) -> None:
+        """Sets the time after which evacuated zones get no request, in ms."""
+        self.platform_state.evacuations.evacuate_ms = evacuate_ms
+
+    def count(self) -> int:
+        """Returns the number of evacuations in force."""
+        return len(self.platform_state.evacuations.in_force())
+
     def refresh(self) -> None:
         """Ends lapsed evacuations and logs what has changed."""
         now_ms = self.clock.now_ms()
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -99,10 +99,10 @@
         self.zone = zone
         self.stall_ms = stall_ms
         self.policy = policy or _settings.PolicySettings()
-        platform_state.evacuations.evacuate_ms = self.policy.evacuate_ms
         self.evacuation = _evacuation.EvacuationWatch(
             platform_state, log, metrics, clock
         )
+        self.evacuation.set_bound(self.policy.evacuate_ms)
         self.pool = connections.ConnectionPool(clock)
         self.restrictions = placement.EndpointRestrictions()
         self.limits = placement.EndpointRateLimits()
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -242,9 +242,7 @@
         )
         self.reader.schedule = _read_schedule(cfg)
         self.forwarder.policy = self.cfg.policy
-        self.platform_state.evacuations.evacuate_ms = (
-            self.cfg.policy.evacuate_ms
-        )
+        self.forwarder.evacuation.set_bound(cfg.policy.evacuate_ms)
         budget = self.forwarder.budget
         budget.ratio = cfg.retry_ratio
         budget.window_ms = cfg.retry_window_ms
@@ -351,9 +349,7 @@
             "datagrams_malformed": float(self.peers.malformed),
             "load_updates_foreign": float(self.peers.foreign_updates),
             "endpoints": float(len(self.platform_state.endpoints)),
-            "zones_evacuated": float(
-                len(self.platform_state.evacuations.in_force())
-            ),
+            "zones_evacuated": float(self.forwarder.evacuation.count()),
             "endpoints_restricted": float(
                 sum(
                     not self.forwarder.restrictions.accepts(e, now_ms)
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/_explain.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/_explain.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from hollycartctl.diagnosis import _evacuations
 from hollycartctl.diagnosis import _lines
 
 # State events up to this time before the first and after the last line of a
@@ -31,6 +32,9 @@
         "store_regained",
         "freshness_lost",
         "freshness_regained",
+        "zone_evacuated",
+        "zone_evacuation_missing",
+        "zone_reopened",
         "started",
         "draining",
         "stopped",
@@ -150,6 +154,14 @@
     )
 
 
+def _find_evacuation(
+    request_lines: _Lines, state_events: _Lines, lines: _Lines
+) -> _Cause:
+    return _evacuations.find_evacuation(
+        request_lines, lines, _QUEUED_PREDICTION_MS
+    )
+
+
 def _find_refusal(
     request_lines: _Lines, state_events: _Lines, lines: _Lines
 ) -> _Cause:
@@ -278,6 +290,7 @@
 _RULES: tuple[Callable[[_Lines, _Lines, _Lines], _Cause], ...] = (
     _find_ended_instance,
     _find_stale_state,
+    _find_evacuation,
     _find_refusal,
     _find_crashed_engine,
     _find_unreachable_endpoint,
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/tests/test_explain.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/tests/test_explain.py
@@ -107,3 +107,43 @@
     assert diagnosis.explain("q", lines).cause == "quarantined"
     shown = [x.event for x in diagnosis.explain("v", lines).timeline]
     assert "engine_crashed" in shown
+
+
+def evacuated_lines(*request_lines):
+    return [
+        line("zone_evacuated", 0.5, zone="y"),
+        line("zone_evacuated", 0.5, instance="b", zone="x"),
+        line("zone_evacuated", 0.6, zone="z"),
+        line("zone_reopened", 0.7, zone="z"),
+        *request_lines,
+    ]
+
+
+@pytest.mark.parametrize(
+    ("event", "reason"),
+    [
+        ("failed", "zones_evacuated"),
+        ("repeated", "endpoint_evacuated"),
+        ("failed", "overloaded"),
+    ],
+)
+def test_evacuation_is_named_as_the_cause_of_a_refusal(event, reason):
+    refusal = line(event, request="r", reason=reason, detail="zone y",
+                   config_version=1)  # fmt: skip
+    lines = evacuated_lines(refusal, line("answered", request="r"))
+    found = diagnosis.explain("r", lines)
+    assert found.cause == "zone_evacuated"
+    assert "y" in found.summary
+    assert "x" not in found.summary and "z," not in found.summary
+    assert "zone_evacuated" in [x.event for x in found.timeline]
+
+
+def test_request_queued_while_a_zone_is_evacuated():
+    lines = evacuated_lines(
+        line("first_event", request="r", endpoint="e", predicted_ms=2000,
+             seen_ms=2100),
+        line("answered", request="r"),
+    )  # fmt: skip
+    assert diagnosis.explain("r", lines).cause == "zone_evacuated"
+    lines.insert(4, line("zone_reopened", 0.9, zone="y"))
+    assert diagnosis.explain("r", lines).cause == "queued"
