--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -191,7 +191,11 @@
             if e.service == service
             and not (
                 self.restrictions.accepts(e, now_ms)
-                and self._is_open(e.zone, now_ms)
+                # The other cell uses no endpoints of this one.
+                and (
+                    self.peers.book.is_in_cell(e.zone)
+                    or self._is_open(e.zone, now_ms)
+                )
             )
         }
         replied = event.Event()
