--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -279,6 +279,7 @@
     def _apply_change(self) -> None:
         self._apply_limits()
         self._apply_cells()
+        self.forwarder.evacuation.refresh()
         self.forwarder.health.follow_incarnations(
             self.platform_state.endpoints.values()
         )
@@ -347,6 +348,7 @@
             "datagrams_malformed": float(self.peers.malformed),
             "load_updates_foreign": float(self.peers.foreign_updates),
             "endpoints": float(len(self.platform_state.endpoints)),
+            "zones_evacuated": float(self.forwarder.evacuation.count()),
             "endpoints_restricted": float(
                 sum(
                     not self.forwarder.restrictions.accepts(e, now_ms)
@@ -391,5 +393,6 @@
             cfg.config_apply_ms,
             cfg.drain_ms,
             cfg.revoke_ms - _REVOCATION_MARGIN_MS,
+            cfg.policy.evacuate_ms or float("inf"),
         )
     )
