Place long prompts whole if all endpoints limit their rate

Cause: without any endpoint that takes parts, the search divided the prompt by zero shares. Prompts whose prefill on eight endpoints takes 8 ms or more failed with an internal error while all candidates had named limits. Change: at least one share is evaluated.

--- a/packages/hollycart-core/src/hollycart_core/placement/_search.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_search.py
@@ -86,7 +86,8 @@
 
     def _search_share_counts(self) -> _types.Placement | None:
         found: list[_types.Placement | None] = []
-        max_count = min(_MAX_SHARES, len(self.helpers))
+        # No endpoint may be a helper if all of them limit their rate.
+        max_count = max(1, min(_MAX_SHARES, len(self.helpers)))
         for count in (*_COARSE_SHARE_COUNTS, max_count):
             found.append(self._place_with_shares(count))
             if self._part_ms(count) < _MIN_PART_MS:
--- a/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/test_placer.py
@@ -201,3 +201,14 @@
         for tokens in (7000, 14000, 2000000)
     ]
     assert weights == [1.5, 2.0, 16.0]
+
+
+def test_long_prompt_is_placed_whole_if_no_endpoint_takes_parts(
+    placer, model, endpoints, long_prompt
+):
+    """All of them limit their rate; this raised a division by zero."""
+    primary_only = frozenset(e.id for e in endpoints)
+    chosen = placer.choose(
+        long_prompt("a"), model, endpoints, 0.0, primary_only
+    )
+    assert len(chosen.assignments) == 1
