Decide which endpoints are cold and how many requests they get

Cause: an engine that returns to service accepts few requests a second and crashes well above that rate; nothing knew that it is cold. `RatePermits.take` grants half if another instance may grant as well. Cold endpoints are predicted at twice the step time, get whole prompts only, and come after warm ones at equal loss.

--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -5,6 +5,10 @@
 from hollycart_core.placement._cells import Cell
 from hollycart_core.placement._cells import cell_name
 from hollycart_core.placement._cells import group_zones
+from hollycart_core.placement._cold_endpoints import ColdEndpoints
+from hollycart_core.placement._cold_rates import ColdRate
+from hollycart_core.placement._cold_rates import LocalShares
+from hollycart_core.placement._cold_rates import cold_rate
 from hollycart_core.placement._conflicts import ANNOUNCEMENT_LAG_MS
 from hollycart_core.placement._conflicts import attempts_at
 from hollycart_core.placement._conflicts import find_conflicts
@@ -34,12 +38,15 @@
     "Cell",
     "CellDirectory",
     "CellReport",
+    "ColdEndpoints",
+    "ColdRate",
     "Endpoint",
     "EndpointHealth",
     "EndpointRateLimits",
     "EndpointRestrictions",
     "EngineModel",
     "LoadView",
+    "LocalShares",
     "MIN_RETRY_AFTER_MS",
     "PermitDecision",
     "Placement",
@@ -53,6 +60,7 @@
     "Assignment",
     "attempts_at",
     "cell_name",
+    "cold_rate",
     "find_conflicts",
     "group_zones",
     "least_busy",
--- a/packages/hollycart-core/src/hollycart_core/placement/_endpoint_state.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_endpoint_state.py
@@ -69,6 +69,7 @@
     health: _health.EndpointHealth,
     model: _engine_model.EngineModel,
     now_ms: float,
+    min_slowness: float = 1.0,
 ) -> EndpointState:
     """Returns the predicted state of an endpoint.
 
@@ -78,6 +79,7 @@
         health: Source of the endpoint's slowness.
         model: Step model of the endpoint's service.
         now_ms: Current instant.
+        min_slowness: Smallest slowness that is assumed of the endpoint.
     """
     decodes: list[_types.Assignment] = []
     prefills: list[_types.Assignment] = []
@@ -107,7 +109,7 @@
         decode_count += unaccounted.requests_left(now_ms)
         total_context_tokens += unaccounted.memory_left(now_ms)
         used_tokens += unaccounted.memory_left(now_ms)
-    slowness = health.slowness(endpoint.id, now_ms)
+    slowness = max(min_slowness, health.slowness(endpoint.id, now_ms))
     return EndpointState(
         endpoint,
         prefill_wait_ms,
--- a/packages/hollycart-core/src/hollycart_core/placement/_least_busy.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_least_busy.py
@@ -1,5 +1,6 @@
 """Load balancing for services that are not model engines."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -10,6 +11,7 @@
     endpoints: Iterable[_types.Endpoint],
     running: Mapping[str, int],
     zone: str,
+    cold: Collection[str] = (),
 ) -> _types.Endpoint | None:
     """Returns the endpoint with the lowest slot utilization, if any.
 
@@ -17,6 +19,8 @@
         endpoints: Endpoints to choose from.
         running: Number of requests in flight by endpoint id.
         zone: Availability zone that is preferred at equal utilization.
+        cold: Ids of endpoints that are cold; others are preferred at equal
+            utilization.
 
     Example:
         >>> a = _types.Endpoint("a", "1:1", "s", "z", 2)
@@ -28,6 +32,7 @@
         endpoints,
         key=lambda e: (
             running.get(e.id, 0) / max(1, e.slots),
+            e.id in cold,
             e.zone != zone,
             e.id,
         ),
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -1,6 +1,8 @@
 """Chooses endpoints for prompts by predicted latencies."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import xxhash
 
@@ -12,6 +14,10 @@
 from hollycart_core.placement import _search
 from hollycart_core.placement import _types
 
+# Slowness that is assumed of a cold endpoint until a larger one is observed.
+# None is published; the value is an assumption.
+_COLD_SLOWNESS = 2.0
+
 
 class Placer:
     """Places prompts one at a time, each with the smallest predicted loss.
@@ -29,6 +35,10 @@
         instance: Name of the instance. It decides among endpoints with equal
             losses, so that instances that do not know each other's load, as
             after a restart of all of them, choose different endpoints.
+
+    Attributes:
+        cold_ids: Returns the ids of those of some endpoints that are cold at an
+            instant. They are slower, and get no parts of prompts.
     """
 
     def __init__(
@@ -40,6 +50,9 @@
         self.view = view
         self.health = health
         self.instance = instance
+        self.cold_ids: Callable[
+            [Sequence[_types.Endpoint], float], frozenset[str]
+        ] = lambda endpoints, now_ms: frozenset()
 
     def choose(
         self,
@@ -63,11 +76,21 @@
             The placement; None if the endpoints lack the memory, or the slots
             to share it, for the prompt.
         """
+        listed = sorted(endpoints, key=self._tie_break)
+        cold = self.cold_ids(listed, now_ms)
+        if cold:
+            # Of equal losses, the first one is chosen.
+            listed.sort(key=lambda e: e.id in cold)
         states = [
             _endpoint_state.predict_state(
-                e, self.view, self.health, model, now_ms
+                e,
+                self.view,
+                self.health,
+                model,
+                now_ms,
+                _COLD_SLOWNESS if e.id in cold else 1.0,
             )
-            for e in sorted(endpoints, key=self._tie_break)
+            for e in listed
         ]
         usable_tokens = (
             model.parameters.memory_tokens * _search.USABLE_MEMORY_SHARE
@@ -88,9 +111,11 @@
                 for s in states
                 if s.helper_slots_used < s.endpoint.slots
                 and s.endpoint.id not in primary_only
+                and s.endpoint.id not in cold
             ],
             _losses.interactive_demand(prompt, model, states),
             _losses.concurrent_placements(model, states),
+            cold,
         )
         return search.run()
 
--- a/packages/hollycart-core/src/hollycart_core/placement/_rate_permits.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_rate_permits.py
@@ -62,7 +62,11 @@
         self._buckets: dict[str, _Bucket] = {}
 
     def take(
-        self, endpoint_id: str, limit_per_s: float, now_ms: float
+        self,
+        endpoint_id: str,
+        limit_per_s: float,
+        now_ms: float,
+        contested: bool = False,
     ) -> PermitDecision:
         """Decides on one request.
 
@@ -70,8 +74,12 @@
             endpoint_id: Id of the endpoint.
             limit_per_s: Requests a second that the endpoint accepts.
             now_ms: Current instant.
+            contested: Whether another instance may grant at the same time; a
+                part of the limit is granted then, as after a takeover.
         """
-        bucket, per_s = self._refill(endpoint_id, limit_per_s, now_ms)
+        bucket, per_s = self._refill(
+            endpoint_id, limit_per_s, now_ms, contested
+        )
         granted = bucket.permits >= 1.0
         if granted:
             bucket = bucket._replace(permits=bucket.permits - 1.0)
@@ -106,12 +114,16 @@
         self._buckets.clear()
 
     def _refill(
-        self, endpoint_id: str, limit_per_s: float, now_ms: float
+        self,
+        endpoint_id: str,
+        limit_per_s: float,
+        now_ms: float,
+        contested: bool = False,
     ) -> tuple[_Bucket, float]:
         """Returns the bucket as of now and the rate at which it is filled."""
         bucket = self._buckets.get(endpoint_id) or _Bucket(now_ms, now_ms, 0.0)
         per_s = max(_MIN_PER_S, limit_per_s)
-        if now_ms - bucket.created_ms < _TAKEOVER_MS:
+        if contested or now_ms - bucket.created_ms < _TAKEOVER_MS:
             per_s *= _TAKEOVER_SHARE
         depth = max(1.0, per_s * _BURST_MS / 1000.0)
         added = max(0.0, now_ms - bucket.updated_ms) * per_s / 1000.0
--- a/packages/hollycart-core/src/hollycart_core/placement/_search.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_search.py
@@ -53,6 +53,7 @@
         helpers: Candidates for helpers.
         demand: Expected interactive prompts, None if none is in flight.
         concurrent: Mean number of concurrent placements by other instances.
+        whole_only: Ids of endpoints that get whole prompts only.
     """
 
     prompt: _types.Prompt
@@ -63,6 +64,7 @@
     helpers: list[_endpoint_state.EndpointState]
     demand: _losses.InteractiveDemand | None
     concurrent: float
+    whole_only: frozenset[str] = frozenset()
 
     def run(self) -> _types.Placement | None:
         """Returns the valid placement with the smallest loss, if any."""
@@ -114,7 +116,12 @@
             self._rank_by_part_loss(self.helpers, part_ms) if count > 1 else []
         )
         found: list[_types.Placement | None] = []
-        for primary in self._rank_primaries(part_ms)[:_MAX_EVALUATED_PRIMARIES]:
+        primaries = self._rank_primaries(part_ms)
+        if count > 1 and self.whole_only:
+            primaries = [
+                s for s in primaries if s.endpoint.id not in self.whole_only
+            ]
+        for primary in primaries[:_MAX_EVALUATED_PRIMARIES]:
             candidates = [s for s in ranked if s.endpoint != primary.endpoint]
             chosen_helpers = candidates[: count - 1]
             if len(chosen_helpers) == count - 1:
