Bound the rate of requests to cold endpoints

Cause: instances place requests on an engine independently, so the sum over 59 of them passes the 26 requests a second that a cold one takes. Change: `gateway._cold` follows the state, what endpoints state and what others announce (new datagram `d`), and tells a new instance what is cold. A request to a cold endpoint needs a permit of its grantor, or a part of the local share where the bound gives each instance two requests a second. Queries carry the cold rate apart from the limit that the endpoint named, so it is never recorded as one; the lower one counts. A grantor of cold endpoints hears more than half of its cell, and grants half while an instance before it in the order is registered but silent. The grantor's decisions move to `gateway._grantor`. Measured: `test_cold` (32 tests at 8 to 300 instances in virtual time) keeps 26 requests in any second.

--- a/packages/hollycart/src/hollycart/gateway/_address_book.py
+++ b/packages/hollycart/src/hollycart/gateway/_address_book.py
@@ -117,6 +117,10 @@
         entry = self._entries.get(ip)
         return entry.zone if entry else ""
 
+    def size(self) -> int:
+        """Returns the number of known addresses in all cells."""
+        return len(self._entries)
+
     def in_cell(self) -> list[str]:
         """Returns the addresses of the own cell."""
         return sorted(
--- a/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
@@ -11,6 +11,9 @@
 
 # Endpoints that are asked for a permit in turn; each query takes a round trip.
 _MAX_PERMIT_QUERIES = 8
+# The same for cold endpoints, of which there are many at a time, as after the
+# evacuation of a zone. Each is left out until it has a permit again.
+_MAX_COLD_QUERIES = 32
 
 
 class AttemptPlacer:
@@ -77,10 +80,19 @@
 
         An endpoint without a permit is no candidate until it has one again.
         """
-        for _ in range(_MAX_PERMIT_QUERIES):
+        queries, cold_queries = 0, 0
+        while (
+            queries < _MAX_PERMIT_QUERIES and cold_queries < _MAX_COLD_QUERIES
+        ):
             chosen = self.chooser.choose(
                 request, progress, attempt_id, self.clock.now_ms()
             )
+            if self.permits.notices.is_cold(
+                chosen.endpoint, self.clock.now_ms()
+            ):
+                cold_queries += 1
+            else:
+                queries += 1
             permitted = False
             try:
                 permitted = self.permits.acquire(attempt_id, chosen.endpoint)
@@ -90,7 +102,7 @@
             if permitted:
                 return chosen
         raise base.OverloadedError(
-            f"{_MAX_PERMIT_QUERIES} endpoints in turn have reached their "
+            f"{queries + cold_queries} endpoints in turn have reached their "
             "limits",
             placement.MIN_RETRY_AFTER_MS,
         )
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -85,6 +85,7 @@
                 candidates,
                 self.in_flight,
                 self.zone,
+                self.permits.notices.cold_ids(candidates, now_ms),
             )
             assert endpoint is not None
             return placement.Placement(endpoint, (), (), 0.0, 0.0)
@@ -123,7 +124,7 @@
                     model,
                     candidates,
                     now_ms,
-                    self._primary_only(candidates),
+                    self._primary_only(candidates, now_ms),
                 )
         if chosen is None:
             raise _failures.MemoryUnavailableError(
@@ -168,7 +169,7 @@
             self.model(service.engine),
             candidates,
             now_ms,
-            self._primary_only(candidates),
+            self._primary_only(candidates, now_ms),
         )
 
     def count_open_endpoints(self, now_ms: float) -> dict[str, int]:
@@ -182,6 +183,7 @@
                     e
                     for e in self._accepting(name, now_ms)
                     if self.book.is_in_cell(e.zone)
+                    and not self.permits.notices.is_cold(e, now_ms)
                 ],
                 now_ms,
             )
@@ -288,16 +290,17 @@
         ]
 
     def _primary_only(
-        self, endpoints: list[placement.Endpoint]
+        self, endpoints: list[placement.Endpoint], now_ms: float
     ) -> frozenset[str]:
-        """Returns the endpoints that limit their rate.
+        """Returns the endpoints that limit their rate, or are cold.
 
         They get whole prompts, each with a permit, but no parts of prompts and
         no reservations, which are requests of their own.
         """
-        return frozenset(
+        limited = {
             e.id for e in endpoints if self.permits.limits.find(e) is not None
-        )
+        }
+        return self.permits.notices.cold_ids(endpoints, now_ms) | limited
 
     def _check_waits(self, service: str, now_ms: float) -> None:
         """Refuses the request if no endpoint of the service accepts any now.
--- a/packages/hollycart/src/hollycart/gateway/_delegate.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegate.py
@@ -80,7 +80,7 @@
             self._reply(message, chosen, ip)
 
     def _is_limited(self, chosen: placement.Placement) -> bool:
-        return self.permits.limits.find(chosen.endpoint) is not None
+        return self.permits.needs_permit(chosen.endpoint)
 
     def _acquire_and_reply(
         self,
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -11,6 +11,7 @@
 from hollycart.gateway import _attempt_placer
 from hollycart.gateway import _chooser
 from hollycart.gateway import _codec
+from hollycart.gateway import _cold
 from hollycart.gateway import _crash_guard
 from hollycart.gateway import _crash_watch
 from hollycart.gateway import _delegate
@@ -101,6 +102,10 @@
         self.pool = connections.ConnectionPool(clock)
         self.restrictions = placement.EndpointRestrictions()
         self.limits = placement.EndpointRateLimits()
+        self.cold = _cold.ColdEngines(
+            platform_state, peers, lambda: self.policy, log, metrics, clock
+        )
+        placer.cold_ids = self.cold.cold_ids
         self.notices = _notices.EndpointNotices(
             codec,
             self.restrictions,
@@ -112,6 +117,7 @@
             log,
             metrics,
             clock,
+            self.cold,
         )
         self.reserver = _reserver.Reserver(
             codec, self.notices, clock, hold_max_ms
@@ -196,6 +202,7 @@
         )
         self.permits.subscribe()
         self.guard.subscribe()
+        self.cold.subscribe()
 
     def _handle_leaving_announced(
         self, message: _messages.EndpointLeaving, ip: str
@@ -431,7 +438,7 @@
             self.admission.check_before_send(
                 request, (endpoint, *chosen.helpers)
             )
-            self.permits.check_before_send(attempt_id, endpoint)
+            self.permits.check_before_send(attempt_id, endpoint, chosen.helpers)
             self.guard.check(request, progress)
             self._check_deadline(request)
             recorder = self._make_recorder(request, progress, chosen)
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -277,6 +277,7 @@
         )
 
     def _apply_change(self) -> None:
+        self.forwarder.cold.follow_state()
         self._apply_limits()
         self._apply_cells()
         self.forwarder.health.follow_incarnations(
@@ -359,6 +360,7 @@
                     for e in self.platform_state.endpoints.values()
                 )
             ),
+            "endpoints_cold": float(self.forwarder.cold.count(now_ms)),
             "traits_quarantined": float(
                 self.forwarder.guard.count_quarantined()
             ),
--- a/packages/hollycart/src/hollycart/gateway/_liveness.py
+++ b/packages/hollycart/src/hollycart/gateway/_liveness.py
@@ -101,10 +101,8 @@
         return None
 
     def _may_query(self, endpoint: placement.Endpoint) -> bool:
-        """Returns whether the endpoint has asked for no pause and no limit."""
+        """Returns whether an endpoint is not paused, limited or cold."""
         now_ms = self.clock.now_ms()
-        return self.notices.limits.find(
+        return not self.notices.limits_rate(
             endpoint
-        ) is None and not self.notices.restrictions.pause_left_ms(
-            endpoint, now_ms
-        )
+        ) and not self.notices.restrictions.pause_left_ms(endpoint, now_ms)
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -230,6 +230,24 @@
     received_age_ms: float
 
 
+class EndpointCold(msgspec.Struct, tag="d", array_like=True):
+    """Announces that an endpoint told the sender that it is cold.
+
+    Attributes:
+        sender: Name of the instance.
+        endpoint: Id of the endpoint.
+        born_ms: Start of its incarnation, Unix time in ms; 0 if unknown.
+        left_ms: Time for which it stays cold, in ms, at the sending.
+        forward: Whether the receiver, of another cell, announces it there.
+    """
+
+    sender: str
+    endpoint: str
+    born_ms: int
+    left_ms: float
+    forward: bool = False
+
+
 class EndpointLimited(msgspec.Struct, tag="m", array_like=True):
     """Announces that an endpoint named another limit to the sender, or none."""
 
@@ -249,6 +267,8 @@
             caller should return.
         asker_ip: IP address of the sender if the query was forwarded.
         forwards: Number of instances that have forwarded the query.
+        cold_per_s: Requests a second that the grantor grants by the view of
+            the sender since the endpoint is cold; 0 if it is not.
     """
 
     sender: str
@@ -258,6 +278,7 @@
     refused: bool = False
     asker_ip: str = ""
     forwards: int = 0
+    cold_per_s: float = 0.0
 
 
 class PermitReply(msgspec.Struct, tag="x", array_like=True):
@@ -388,6 +409,7 @@
     | EndpointLeaving
     | EndpointReplaced
     | EndpointLimited
+    | EndpointCold
     | PermitQuery
     | PermitReply
     | CellAnnouncement
--- a/packages/hollycart/src/hollycart/gateway/_notices.py
+++ b/packages/hollycart/src/hollycart/gateway/_notices.py
@@ -1,17 +1,20 @@
 """What endpoints ask for in the heads of their responses."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from absl import logging
 
 from hollycart import observe
 from hollycart.gateway import _codec
+from hollycart.gateway import _cold
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import placement
 
 _UNAVAILABLE_STATUS = 503
+_NONE: frozenset[str] = frozenset()
 
 
 class EndpointNotices:
@@ -34,6 +37,7 @@
         log: Decision log.
         metrics: Receives counts.
         clock: Source of time.
+        cold: Receives how long the endpoints stay cold; None ignores it.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         log: observe.DecisionLog,
         metrics: observe.Metrics,
         clock: base.Clock,
+        cold: _cold.ColdEngines | None = None,
     ) -> None:
         self.codec = codec
         self.restrictions = restrictions
@@ -59,6 +64,7 @@
         self.log = log
         self.metrics = metrics
         self.clock = clock
+        self.cold = cold
 
     def record(
         self,
@@ -98,8 +104,32 @@
         # The time of a response to another request is not known.
         if response.request_id == request_id or not response.request_id:
             self._record_limit(endpoint, response, sent_ms)
+            if self.cold is not None and response.cold_left_ms is not None:
+                self.cold.record(endpoint, response.cold_left_ms, sent_ms)
         return response
 
+    def limits_rate(self, endpoint: placement.Endpoint) -> bool:
+        """Returns whether an endpoint limits its rate, or is cold."""
+        return self.limits.find(endpoint) is not None or self.is_cold(
+            endpoint, self.clock.now_ms()
+        )
+
+    def is_cold(self, endpoint: placement.Endpoint, now_ms: float) -> bool:
+        """Returns whether an endpoint is cold."""
+        return self.cold is not None and self.cold.is_cold(endpoint, now_ms)
+
+    def cold_ids(
+        self, endpoints: Sequence[placement.Endpoint], now_ms: float
+    ) -> frozenset[str]:
+        """Returns the ids of the endpoints that are cold."""
+        return self.cold.cold_ids(endpoints, now_ms) if self.cold else _NONE
+
+    def cold_rate(
+        self, endpoint: placement.Endpoint, now_ms: float
+    ) -> placement.ColdRate | None:
+        """Returns how many requests a cold endpoint may get; None if warm."""
+        return self.cold.rate(endpoint, now_ms) if self.cold else None
+
     def record_replaced(self, endpoint: placement.Endpoint) -> None:
         """Records that another endpoint responded at an endpoint's address."""
         if self.restrictions.record_replaced(
--- a/packages/hollycart/src/hollycart/gateway/_permits.py
+++ b/packages/hollycart/src/hollycart/gateway/_permits.py
@@ -1,5 +1,6 @@
 """Permits for requests to endpoints that limit their rate."""
 
+from collections.abc import Sequence
 import itertools
 import random
 from typing import Any
@@ -8,6 +9,7 @@
 
 from hollycart import observe
 from hollycart.gateway import _failures
+from hollycart.gateway import _grantor
 from hollycart.gateway import _messages
 from hollycart.gateway import _notices
 from hollycart.gateway import _peers
@@ -30,6 +32,9 @@
 _QUERY_ID_BITS = 48
 # A query that was forwarded once is answered or dropped.
 _MAX_FORWARDS = 1
+# Age of the statement in queries for an endpoint that has named no limit, in
+# ms: older than all others, so that it changes nothing where it is received.
+_NO_STATEMENT_AGE_MS = 1e9
 
 
 class PermitExchange:
@@ -41,6 +46,11 @@
     silent grantor grants nothing. An instance grants only while its view of the
     others is recent, so that one that was paused does not act on an old one.
 
+    A cold endpoint is limited in the same way; if it has also named a limit,
+    the lower of the two counts. Its grantor has to hear more than half of the
+    cell, so that no two parts of a divided cell both grant. If the share of
+    each instance is large enough, no permits are needed for it.
+
     Args:
         peers: Exchange of datagrams with the other instances.
         notices: Limits that endpoints named.
@@ -51,6 +61,7 @@
 
     Attributes:
         limits: Limits that are in force.
+        grantor: Decides as the grantor of the endpoints in its charge.
     """
 
     def __init__(
@@ -69,7 +80,9 @@
         self.metrics = metrics
         self.clock = clock
         self.rng = rng
-        self._permits = placement.RatePermits()
+        self.grantor = _grantor.PermitGrantor(peers, notices, clock)
+        self._shares = placement.LocalShares()
+        self._returns = placement.RatePermits()
         self._available_ms: dict[str, float] = {}
         self._expiry_ms: dict[tuple[str, str], float] = {}
         self._awaited: dict[int, event.Event] = {}
@@ -87,10 +100,21 @@
 
         Zero if it has no limit, and if only a query can tell.
         """
+        rate = self.notices.cold_rate(endpoint, now_ms)
+        share_ms = 0.0
+        if rate is not None and rate.share:
+            share_ms = self._shares.wait_ms(endpoint.id, rate.share, now_ms)
         available_ms = self._available_ms.get(endpoint.id)
-        if available_ms is None or self.limits.find(endpoint) is None:
-            return 0.0
-        return max(0.0, available_ms - now_ms)
+        if available_ms is None or not self.needs_permit(endpoint):
+            return share_ms
+        return max(share_ms, available_ms - now_ms)
+
+    def needs_permit(self, endpoint: placement.Endpoint) -> bool:
+        """Returns whether a request to an endpoint needs a permit."""
+        if self.limits.find(endpoint) is not None:
+            return True
+        rate = self.notices.cold_rate(endpoint, self.clock.now_ms())
+        return rate is not None and not rate.share
 
     def acquire(self, attempt_id: str, endpoint: placement.Endpoint) -> bool:
         """Acquires a permit for an attempt, unless it needs none or has one.
@@ -103,36 +127,67 @@
             Whether the request may be sent. If not, `wait_ms` tells when to
             ask again.
         """
-        limit = self.limits.find(endpoint)
         now_ms = self.clock.now_ms()
-        if limit is None or self.holds(attempt_id, endpoint, now_ms):
+        limit = self.limits.find(endpoint)
+        rate = self.notices.cold_rate(endpoint, now_ms)
+        if (
+            rate is not None
+            and rate.share
+            and not self._shares.take(
+                endpoint.id, attempt_id, rate.share, now_ms
+            )
+        ):
+            self.metrics.count("cold_permit_share")
+            self._log_refused(attempt_id, endpoint, "share", now_ms)
+            return False
+        if limit is None and (rate is None or rate.share):
+            return True
+        if self.holds(attempt_id, endpoint, now_ms):
             return True
-        reply = self._ask(endpoint, limit, now_ms)
-        granted = reply is not None and reply.granted
-        if granted:
+        reply = self._ask(
+            endpoint, limit, now_ms, cold_per_s=rate.per_s if rate else 0.0
+        )
+        if reply is not None and reply.granted:
             self.record_granted(attempt_id, endpoint.id, now_ms)
             self.metrics.count("permit_granted")
             return True
         outcome = "no_reply" if reply is None else "denied"
         self.metrics.count(f"permit_{outcome}")
+        if rate is not None:
+            self.metrics.count(f"cold_permit_{outcome}")
+        self._shares.release(endpoint.id, attempt_id)
         answered_ms = self.clock.now_ms()
-        wait_ms = reply.wait_ms if reply else _SILENCE_MS
+        wait_ms = max(_MIN_WAIT_MS, reply.wait_ms if reply else _SILENCE_MS)
         _remove_past(self._available_ms, answered_ms)
-        self._available_ms[endpoint.id] = answered_ms + max(
-            _MIN_WAIT_MS, wait_ms
-        )
+        self._available_ms[endpoint.id] = answered_ms + wait_ms
+        self._log_refused(attempt_id, endpoint, outcome, now_ms)
+        return False
+
+    def _log_refused(
+        self,
+        attempt_id: str,
+        endpoint: placement.Endpoint,
+        outcome: str,
+        asked_ms: float,
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        limit = self.limits.find(endpoint)
+        rate = self.notices.cold_rate(endpoint, now_ms)
+        rates = [limit.per_s or 0.0] if limit is not None else []
+        if rate is not None:
+            rates.append(rate.per_s)
         self.log.write(
             observe.decisions.PermitRefused(
                 attempt_id,
                 endpoint.id,
                 outcome,
-                limit.per_s or 0.0,
-                round(answered_ms - limit.received_ms, 1),
-                round(self.wait_ms(endpoint, answered_ms), 1),
-                round(answered_ms - now_ms, 1),
+                min(rates, default=0.0),
+                round(now_ms - limit.received_ms, 1) if limit else 0.0,
+                round(self.wait_ms(endpoint, now_ms), 1),
+                round(now_ms - asked_ms, 1),
+                rate is not None,
             )
         )
-        return False
 
     def record_granted(
         self, attempt_id: str, endpoint_id: str, asked_ms: float
@@ -156,26 +211,45 @@
         return expiry_ms is not None and now_ms < expiry_ms
 
     def check_before_send(
-        self, attempt_id: str, endpoint: placement.Endpoint
+        self,
+        attempt_id: str,
+        endpoint: placement.Endpoint,
+        helpers: Sequence[placement.Endpoint] = (),
     ) -> None:
         """Checks just before the send that a permit is held, if one is needed.
 
+        Args:
+            attempt_id: Id of the attempt.
+            endpoint: The primary.
+            helpers: Endpoints that get parts of the prompt.
+
         Raises:
-            NotExecutedError: If the endpoint limits its rate, and the attempt
-                has no permit or one that has expired.
+            NotExecutedError: If the endpoint limits its rate or is cold, and
+                the attempt has no permit or one that has expired.
+            HelperRejectedError: If a helper has become cold.
         """
         now_ms = self.clock.now_ms()
-        if self.limits.find(endpoint) is None:
-            return
-        if not self.holds(attempt_id, endpoint, now_ms):
+        for helper in helpers:
+            if self.notices.is_cold(helper, now_ms):
+                raise _failures.HelperRejectedError(
+                    f"{helper.id} has become cold", helper.id
+                )
+        rate = self.notices.cold_rate(endpoint, now_ms)
+        permitted = not self.needs_permit(endpoint) or self.holds(
+            attempt_id, endpoint, now_ms
+        )
+        if permitted and rate is not None and rate.share:
+            permitted = self._shares.send(endpoint.id, attempt_id, now_ms)
+        if not permitted:
             raise base.NotExecutedError(
                 f"permit for {endpoint.id} has expired or was never granted",
                 _failures.RETRY_AFTER_MS,
             )
 
     def release(self, attempt_id: str, endpoint: placement.Endpoint) -> None:
-        """Forgets the permit of an attempt that has been sent or has failed."""
+        """Forgets the permit of an attempt that was sent or has failed."""
         self._expiry_ms.pop((attempt_id, endpoint.id), None)
+        self._shares.release(endpoint.id, attempt_id)
 
     def return_after_ms(
         self,
@@ -195,13 +269,31 @@
             now_ms: Current instant.
         """
         limits = [self.limits.find(e) for e in endpoints]
-        rates = [limit.per_s or 0.0 for limit in limits if limit is not None]
+        cold = [self.notices.cold_rate(e, now_ms) for e in endpoints]
+        rates = [
+            min(
+                limit.per_s or 0.0 if limit else float("inf"),
+                rate.share or rate.per_s if rate else float("inf"),
+            )
+            for limit, rate in zip(limits, cold, strict=True)
+            if limit is not None or rate is not None
+        ]
         if len(rates) < len(endpoints) or sum(rates) <= 0.0:
             return earliest_ms
         (number,) = self.rng.choices(range(len(endpoints)), rates)
-        endpoint, limit = endpoints[number], limits[number]
-        assert limit is not None
-        reply = self._ask(endpoint, limit, now_ms, refused=True)
+        endpoint, limit, rate = endpoints[number], limits[number], cold[number]
+        if limit is None and rate is not None and rate.share:
+            wait_ms = self._returns.plan_return(
+                endpoint.id, float(rate.share), now_ms
+            )
+            return max(earliest_ms, wait_ms)
+        reply = self._ask(
+            endpoint,
+            limit,
+            now_ms,
+            refused=True,
+            cold_per_s=rate.per_s if rate else 0.0,
+        )
         if reply is None:
             return earliest_ms
         return max(earliest_ms, reply.wait_ms)
@@ -209,20 +301,27 @@
     def _ask(
         self,
         endpoint: placement.Endpoint,
-        limit: placement.RateStatement,
+        limit: placement.RateStatement | None,
         now_ms: float,
         refused: bool = False,
+        cold_per_s: float = 0.0,
     ) -> _messages.PermitReply | None:
         grantor_ip = self._grantor_ip(endpoint)
+        if limit is None:
+            stated_ms = now_ms - _NO_STATEMENT_AGE_MS
+            limit = placement.RateStatement(
+                endpoint.id, endpoint.born_ms, None, stated_ms, stated_ms
+            )
         query = _messages.PermitQuery(
             self.peers.name,
             next(self._query_ids),
             endpoint.zone,
             _messages.pack_limit(limit, now_ms),
             refused,
+            cold_per_s=cold_per_s,
         )
         if grantor_ip == self.peers.ip:
-            return self._decide(query)
+            return self.grantor.decide(query)
         if grantor_ip is None:
             return None
         replied = event.Event()
@@ -252,40 +351,11 @@
 
     def _grantor_in_cell(self, endpoint_id: str) -> str | None:
         names = self.peers.staying()
-        first = base.rendezvous_rank(f"permits/{endpoint_id}", names)[0]
+        first = base.rendezvous_rank(_grantor.duty_key(endpoint_id), names)[0]
         if first == self.peers.name:
             return self.peers.ip
         return self.peers.ip_of(first)
 
-    def _decide(
-        self, query: _messages.PermitQuery
-    ) -> _messages.PermitReply | None:
-        """Returns the reply as the grantor of the endpoint's permits."""
-        now_ms = self.clock.now_ms()
-        if not self.peers.is_settled(now_ms):
-            # Others may have granted while this instance was not running.
-            self._permits.clear()
-            return None
-        stated = _messages.unpack_limit(query.limit, now_ms)
-        self.notices.record_announced_limit(stated, query.sender)
-        known = self.limits.latest(stated.endpoint) or stated
-        granted, wait_ms = known.per_s is None, 0.0
-        if known.per_s is not None and query.refused:
-            wait_ms = self._permits.plan_return(
-                known.endpoint, known.per_s, now_ms
-            )
-        elif known.per_s is not None:
-            granted, wait_ms = self._permits.take(
-                known.endpoint, known.per_s, now_ms
-            )
-        return _messages.PermitReply(
-            self.peers.name,
-            query.query_id,
-            _messages.pack_limit(known, now_ms),
-            granted,
-            wait_ms,
-        )
-
     def _handle_query(self, query: _messages.PermitQuery, ip: str) -> None:
         asker_ip = query.asker_ip or ip
         grantor_ip = (
@@ -294,11 +364,11 @@
             else None
         )
         if grantor_ip == self.peers.ip:
-            reply = self._decide(query)
+            reply = self.grantor.decide(query)
             if reply is not None:
                 self.peers.send(reply, asker_ip)
             return
-        self._permits.drop(query.limit.endpoint)
+        self.grantor.drop(query.limit.endpoint)
         if grantor_ip is not None and query.forwards < _MAX_FORWARDS:
             query.asker_ip = asker_ip
             query.forwards += 1
--- a/packages/hollycart/src/hollycart/gateway/_survey.py
+++ b/packages/hollycart/src/hollycart/gateway/_survey.py
@@ -83,7 +83,7 @@
             e
             for e in self.platform_state.endpoints.values()
             if self.notices.restrictions.accepts(e, self.clock.now_ms())
-            and self.notices.limits.find(e) is None
+            and not self.notices.limits_rate(e)
             and self.peers.book.is_in_cell(e.zone)
             and e.service in cfg.services
             and cfg.services[e.service].engine is not None
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -89,6 +89,9 @@
             if find(head.headers, b"limit")
             else None,
             head.status == 421,
+            float(find(head.headers, b"cold"))
+            if find(head.headers, b"cold")
+            else None,
         )
 
     def encode_failure(self, request_id, retry_after_ms):
--- a/packages/hollycart/src/hollycart/observe/decisions/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from hollycart.observe.decisions._base import Decision
+from hollycart.observe.decisions._cold import EndpointCold
 from hollycart.observe.decisions._crashes import EngineCrashed
 from hollycart.observe.decisions._crashes import Quarantined
 from hollycart.observe.decisions._crashes import QuarantineTrial
@@ -62,6 +63,7 @@
     EndpointLeaving,
     EndpointReplaced,
     EndpointLimited,
+    EndpointCold,
     EndpointPaused,
     PermitRefused,
     PeerFound,
@@ -91,6 +93,7 @@
     "CellChanged",
     "Decision",
     "Draining",
+    "EndpointCold",
     "EndpointLeaving",
     "EndpointLimited",
     "EndpointPaused",
--- a/packages/hollycart/src/hollycart/observe/decisions/_endpoints.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/_endpoints.py
@@ -93,11 +93,14 @@
     Attributes:
         attempt: Id of the attempt.
         endpoint: Id of the endpoint.
-        outcome: `denied`, or `no_reply` if the grantor was silent.
+        outcome: `denied`, `no_reply` if the grantor was silent, or `share` if
+            this instance has used its own share for a cold endpoint.
         limit_per_s: Limit of the endpoint, in requests a second.
         limit_age_ms: Time since the endpoint last named it to an instance.
         wait_ms: Time for which the endpoint is not asked for again.
         query_ms: Duration of the query.
+        cold: Whether the endpoint is cold. Its rate then counts if it is lower
+            than the limit.
     """
 
     attempt: str
@@ -107,6 +110,7 @@
     limit_age_ms: float
     wait_ms: float
     query_ms: float
+    cold: bool = False
 
 
 class LoadSurveyed(_base.Decision, tag="load_surveyed"):
