--- a/packages/hollycart/src/hollycart/gateway/_evacuation.py
+++ b/packages/hollycart/src/hollycart/gateway/_evacuation.py
@@ -1,5 +1,7 @@
 """Keeps requests away from the endpoints of evacuated availability zones."""
 
+from collections.abc import Callable
+
 from absl import logging
 
 from hollycart import observe
@@ -38,6 +40,8 @@
         log: Decision log.
         metrics: Receives counts.
         clock: Source of time.
+        on_reopened: Called with a zone whose evacuation has ended, and the
+            instant at which this instance learned of it.
     """
 
     def __init__(
@@ -46,11 +50,13 @@
         log: observe.DecisionLog,
         metrics: observe.Metrics,
         clock: base.Clock,
+        on_reopened: Callable[[str, float], None],
     ) -> None:
         self.platform_state = platform_state
         self.log = log
         self.metrics = metrics
         self.clock = clock
+        self.on_reopened = on_reopened
         self._reported: dict[str, placement.ZoneEvacuation] = {}
         self._task = base.PeriodicTask(
             self.refresh, _REFRESH_INTERVAL_MS, clock, self._log_fault
@@ -96,6 +102,7 @@
                 )
         for zone, known in before.items():
             if zone not in after:
+                self.on_reopened(zone, evacuations.ended_ms(zone) or now_ms)
                 self.log.write(
                     observe.decisions.ZoneReopened(
                         zone,
--- a/packages/hollycart/src/hollycart/gateway/tests/test_evacuation.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_evacuation.py
@@ -364,3 +364,21 @@
     instance.reload(cfg._replace(policy=gateway.PolicySettings()))
     access = instance.platform_state.evacuations.access
     assert access("y", instance.clock.now_ms()) is _CLOSED
+
+
+def test_endpoints_are_cold_when_the_evacuation_of_their_zone_ends(two_zones):
+    """Guards against a burst at engines that became cold in the meantime."""
+    service = two_zones.config.services["svc"]
+    two_zones.config.services["svc"] = service._replace(
+        cold_start_ms=3000.0, cold_per_s=14.0
+    )
+    forwarder = two_zones.forwarder
+    two_zones.apply_state(evacuated={"y": (0, 7)})
+    forwarder.evacuation.refresh()
+    two_zones.apply_state(evacuated={})
+    forwarder.evacuation.refresh()
+    now_ms = two_zones.clock.now_ms()
+    cold = [
+        forwarder.cold.is_cold(e, now_ms) for e in two_zones.listed_endpoints
+    ]
+    assert cold == [True, False]
