--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -5,11 +5,18 @@
 from hollycart_core.placement._cells import Cell
 from hollycart_core.placement._cells import cell_name
 from hollycart_core.placement._cells import group_zones
+from hollycart_core.placement._cold_endpoints import ColdEndpoints
+from hollycart_core.placement._cold_rates import ColdRate
+from hollycart_core.placement._cold_rates import LocalShares
+from hollycart_core.placement._cold_rates import cold_rate
 from hollycart_core.placement._conflicts import ANNOUNCEMENT_LAG_MS
 from hollycart_core.placement._conflicts import attempts_at
 from hollycart_core.placement._conflicts import find_conflicts
 from hollycart_core.placement._conflicts import needs_confirmation
 from hollycart_core.placement._engine_model import EngineModel
+from hollycart_core.placement._evacuations import ZoneAccess
+from hollycart_core.placement._evacuations import ZoneEvacuation
+from hollycart_core.placement._evacuations import ZoneEvacuations
 from hollycart_core.placement._health import EndpointHealth
 from hollycart_core.placement._least_busy import least_busy
 from hollycart_core.placement._load_view import LoadView
@@ -37,12 +44,15 @@
     "Cell",
     "CellDirectory",
     "CellReport",
+    "ColdEndpoints",
+    "ColdRate",
     "Endpoint",
     "EndpointHealth",
     "EndpointRateLimits",
     "EndpointRestrictions",
     "EngineModel",
     "LoadView",
+    "LocalShares",
     "MIN_RETRY_AFTER_MS",
     "PermitDecision",
     "Placement",
@@ -55,9 +65,13 @@
     "SharedRetryBudget",
     "TeamUsage",
     "UnaccountedLoad",
+    "ZoneAccess",
+    "ZoneEvacuation",
+    "ZoneEvacuations",
     "Assignment",
     "attempts_at",
     "cell_name",
+    "cold_rate",
     "find_conflicts",
     "group_zones",
     "least_busy",
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -89,6 +89,9 @@
             if find(head.headers, b"limit")
             else None,
             head.status == 421,
+            float(find(head.headers, b"cold"))
+            if find(head.headers, b"cold")
+            else None,
         )
 
     def encode_failure(self, request_id, retry_after_ms):
@@ -360,7 +363,14 @@
         self.peers.close()
         self.forwarder.close()
 
-    def apply_state(self, config=None, listed_endpoints=None, confirmed=True):
+    def apply_state(
+        self,
+        config=None,
+        listed_endpoints=None,
+        confirmed=True,
+        evacuated=(),
+        era=0,
+    ):
         self.revision += 1
         snapshot = gateway.Snapshot(
             self.revision,
@@ -373,8 +383,10 @@
             ),
             {},
             self.revision,
+            era,
+            evacuated={z: kv.Position(era, self.revision) for z in evacuated},
         )
-        raw = _history.RawState(kv.RangeResult(self.revision, ()), 0)
+        raw = _history.RawState(kv.RangeResult(self.revision, (), era), 0)
         now_ms = self.clock.now_ms()
         self.platform_state.apply(raw, snapshot, now_ms)
         if confirmed:
--- a/packages/hollycart/src/hollycart/observe/decisions/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from hollycart.observe.decisions._base import Decision
+from hollycart.observe.decisions._cold import EndpointCold
 from hollycart.observe.decisions._crashes import EngineCrashed
 from hollycart.observe.decisions._crashes import Quarantined
 from hollycart.observe.decisions._crashes import QuarantineTrial
@@ -18,6 +19,9 @@
 from hollycart.observe.decisions._endpoints import EndpointUnreachable
 from hollycart.observe.decisions._endpoints import LoadSurveyed
 from hollycart.observe.decisions._endpoints import PermitRefused
+from hollycart.observe.decisions._evacuations import ZoneEvacuated
+from hollycart.observe.decisions._evacuations import ZoneEvacuationMissing
+from hollycart.observe.decisions._evacuations import ZoneReopened
 from hollycart.observe.decisions._lifecycle import Draining
 from hollycart.observe.decisions._lifecycle import LoopDelayed
 from hollycart.observe.decisions._lifecycle import Message
@@ -62,8 +66,12 @@
     EndpointLeaving,
     EndpointReplaced,
     EndpointLimited,
+    EndpointCold,
     EndpointPaused,
     PermitRefused,
+    ZoneEvacuated,
+    ZoneEvacuationMissing,
+    ZoneReopened,
     PeerFound,
     PeerLost,
     CellChanged,
@@ -91,6 +99,7 @@
     "CellChanged",
     "Decision",
     "Draining",
+    "EndpointCold",
     "EndpointLeaving",
     "EndpointLimited",
     "EndpointPaused",
@@ -123,4 +132,7 @@
     "StoreRegained",
     "StoreRestored",
     "Suppressed",
+    "ZoneEvacuated",
+    "ZoneEvacuationMissing",
+    "ZoneReopened",
 ]
