Soak: all model engines start again and are cold

The stand-in engine takes `--cold-ms`, states the time left in its responses (X-Cold-Ms) and journals what arrives while it is cold. The fault `engines_cold` declares the cold rate in the configuration and starts all model engines again; the check sums arrivals in any second over all instances and excuses nothing. Entries, services and settings of the stand-ins carry the cold times and bounds.

--- a/packages/hollycart-bench/src/hollycart_bench/soak/_configuration.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_configuration.py
@@ -9,10 +9,20 @@
 PLAIN_SERVICES = ("app", "spare")
 _MAX_CONNECTIONS = 200
 _HOST = "soak.example"
+# Time for which cold engines are cold, in ms, and what the service declares: an
+# engine's entry is written while its process still starts.
+COLD_MS = 3000.0
+_DECLARED_COLD_MS = 6000.0
+COLD_PER_S = 2.0
+COLD_OVERAGE = 1.5
+COLD_SLACK = 1.0
 
 
 def make_config(
-    version: int, keys: Mapping[str, str], plain_service: str
+    version: int,
+    keys: Mapping[str, str],
+    plain_service: str,
+    cold: bool = False,
 ) -> routing.RoutingConfig:
     """Returns a configuration with one route for each kind of request.
 
@@ -20,6 +30,7 @@
         version: Version of the configuration.
         keys: API key by team.
         plain_service: Service that requests without a prompt are routed to.
+        cold: Whether model engines are cold after their start.
 
     Example:
         >>> make_config(3, {"t": "k"}, "app").find_team("k").name
@@ -35,7 +46,11 @@
         ],
         [
             routing.Service(
-                MODEL_SERVICE, _MAX_CONNECTIONS, virtual.PUBLISHED_ENGINE
+                MODEL_SERVICE,
+                _MAX_CONNECTIONS,
+                virtual.PUBLISHED_ENGINE,
+                cold_start_ms=_DECLARED_COLD_MS if cold else 0.0,
+                cold_per_s=COLD_PER_S if cold else 0.0,
             ),
             *(
                 routing.Service(name, _MAX_CONNECTIONS)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -70,6 +70,7 @@
             decode; empty for none.
         crash_body: Body of a request on which the process ends while it runs;
             empty for none.
+        cold_ms: Time for which the engine is cold after its start, in ms.
     """
 
     def __init__(
@@ -82,9 +83,11 @@
         clock: base.Clock,
         crash_segment: str = "",
         crash_body: bytes = b"",
+        cold_ms: float = 0.0,
     ) -> None:
         self.crash_segment = crash_segment
         self.crash_body = crash_body
+        self.cold_ms = cold_ms
         self.engine_id = engine_id
         self.parameters = parameters
         self.slots = slots
@@ -99,12 +102,14 @@
         self._reservations: dict[str, _Reservation] = {}
         self._journal = journal
         self._journal_file: Any = None
+        self._cold_until_ms = 0.0
 
     def start(self) -> None:
         """Opens the journal and starts to listen."""
         self._journal_file = self._journal.open(
             "a", buffering=1, encoding="utf-8"
         )
+        self._cold_until_ms = self.clock.now_ms() + self.cold_ms
         self.server.start()
 
     def close(self) -> None:
@@ -131,6 +136,8 @@
         req = self.engine_codec.decode_engine_request(
             exchange.head, exchange.body
         )
+        if self._cold_left_ms() and req.endpoint_id in ("", self.engine_id):
+            self._write_journal("cold", req)
         if req.operation:
             self._handle_reservation(exchange, req)
             return
@@ -184,6 +191,9 @@
             raise
         self._write_journal("end", req)
 
+    def _cold_left_ms(self) -> float:
+        return max(0.0, self._cold_until_ms - self.clock.now_ms())
+
     def _has_crash_segment(self, req: hollycart_standins.EngineRequest) -> bool:
         return bool(self.crash_segment) and self.crash_segment in req.segments
 
@@ -203,7 +213,11 @@
         if self.faults.limit_per_s:
             self._write_journal("limited", req)
         return self.engine_codec.encode_success(
-            req, stream, self.faults.says_leaving, self.faults.limit_per_s
+            req,
+            stream,
+            self.faults.says_leaving,
+            self.faults.limit_per_s,
+            self._cold_left_ms(),
         )
 
     def _stream(
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -84,6 +84,7 @@
             "callers_endless": self._callers_endless,
             "datagram_flood": self._datagram_flood,
             "store_restored": self._store_restored,
+            "engines_cold": self._engines_cold,
             "engines_crash_on_segment": self._engines_crash_on_segment,
             "engines_crash_on_request": self._engines_crash_on_request,
             "engine_leaves": self._engine_leaves,
@@ -311,6 +312,17 @@
         self.system.start_engine(engine)
         return name
 
+    def _engines_cold(self) -> str:
+        """Starts all model engines again, which are cold at first."""
+        self.system.cold = True
+        self.system.put_config()
+        eventlet.sleep(_OBSERVE_S)
+        self.system.restart_engines(_configuration.MODEL_SERVICE)
+        eventlet.sleep(_ENGINE_START_S + _configuration.COLD_MS / 1000.0)
+        self.system.cold = False
+        self.system.put_config()
+        return ""
+
     def _engines_crash_on_segment(self) -> str:
         """Lets all model engines crash on the prompts with one segment."""
         service = _configuration.MODEL_SERVICE
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_judge.py
@@ -3,6 +3,7 @@
 import collections
 
 from hollycart_bench import checks
+from hollycart_bench.soak import _cold
 from hollycart_bench.soak import _crashing
 from hollycart_bench.soak import _record
 
@@ -44,6 +45,7 @@
         "prompts that crash engines are kept away",
         "requests that crash engines are kept away",
         "a limit is kept",
+        "cold engines get few requests",
         "memory comes back",
         "refusals say when",
         "refused is not run",
@@ -130,6 +132,10 @@
         _check_abandoned_calls(record, checkers["work ends with its caller"])
     _check_notices(record, checkers)
     _check_limits(record, checkers)
+    if any(e.event == _cold.COLD_EVENT for e in record.journal_entries):
+        _cold.check_cold_engines(
+            record.journal_entries, checkers["cold engines get few requests"]
+        )
     for rule in (_crashing.PROMPTS, _crashing.REQUESTS):
         if any(e.event == rule.crash for e in record.journal_entries):
             name = f"{rule.subject} that crash engines are kept away"
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_record.py
@@ -67,8 +67,8 @@
             leaving), `crashing` (a prompt arrived that crashes the engine),
             `crash` (the engine crashes on it), `repeated` and `repeated_crash`
             (the same for a request that is sent again and again), `pause`
-            (rejected, with a pause of `PAUSE_S`) or `limited` (answered with
-            the limit `LIMIT_PER_S`).
+            (rejected, with a pause of `PAUSE_S`), `limited` (answered with the
+            limit `LIMIT_PER_S`) or `cold` (arrived while the engine was cold).
         request_id: Id that the caller gave to the attempt.
         team: Team that the request is billed to.
     """
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -54,6 +54,8 @@
         crash_segment: Segment on which the engines crash that are started from
             now on; empty for none.
         crash_body: Body of a request on which they do; empty for none.
+        cold: Whether model engines that are started from now on are cold at
+            first, and the next configuration says so.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.proxies: dict[str, _proxy.FaultProxy] = {}
         self.crash_segment = ""
         self.crash_body = ""
+        self.cold = False
         self._targets: dict[str, str] = {}
         self._client = http.HttpClient()
         self._clock = base.SystemClock()
@@ -128,7 +131,7 @@
             Wall-clock time of the acknowledgement, in ms.
         """
         cfg = _configuration.make_config(
-            self.version, self.keys, self.plain_service
+            self.version, self.keys, self.plain_service, self.cold
         )
         value = hollycart_standins.encode_config(cfg)
         self._put({hollycart_standins.config_key(): value})
@@ -375,6 +378,8 @@
                 self.crash_segment,
                 "--crash-body",
                 self.crash_body,
+                "--cold-ms",
+                str(_configuration.COLD_MS if self.cold else 0.0),
             ),
             self.folder,
         )
@@ -411,6 +416,10 @@
             retry_slack=100.0,
             stall_ms=1500.0,
             hold_max_ms=20000.0,
+            policy=gateway.PolicySettings(
+                cold_overage=_configuration.COLD_OVERAGE,
+                cold_slack=_configuration.COLD_SLACK,
+            ),
         )
         path = self.folder / f"{name}.toml"
         path.write_text(hollycart_standins.encode_settings(cfg))
--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -151,7 +151,7 @@
     record.moved_services.append(("e9", 0.0))
     record.exits.append(("n0", 0))
     record.held["e-0"] = 0
-    for event in ("leaving", "pause"):
+    for event in ("leaving", "pause", "cold"):
         record.journal_entries.append(RUN._replace(event=event))
     record.faults.append(soak.Fault("engine_limits", "e-0", 50000.0, 60000.0))
     record.journal_entries.append(RUN._replace(event="limited", at_ms=55000.0))
@@ -318,3 +318,15 @@
     }
     record.faults.append(soak.Fault("freeze", "n0", 43000.0, 45900.0))
     assert violated(record) == {"memory is bounded"}
+
+
+def test_cold_engine_that_got_too_many_requests_in_a_second(record):
+    """Four are allowed; requests that arrive when it is warm do not count."""
+    cold = RUN._replace(event="cold")
+    for at_ms in (0.0, 100.0, 600.0, 999.0, 1000.0):
+        record.journal_entries.append(cold._replace(at_ms=at_ms))
+    assert not violated(record)
+    record.journal_entries.append(RUN._replace(at_ms=700.0, request_id="q"))
+    assert not violated(record)
+    record.journal_entries.append(cold._replace(at_ms=1050.0))
+    assert violated(record) == {"cold engines get few requests"}
--- a/packages/hollycart-bench/src/hollycart_bench/standin.py
+++ b/packages/hollycart-bench/src/hollycart_bench/standin.py
@@ -130,6 +130,7 @@
     prompts: bool = True,
     crash_segment: str = "",
     crash_body: str = "",
+    cold_ms: float = 0.0,
 ) -> None:
     """Runs an engine that speaks the platform's protocol.
 
@@ -140,6 +141,7 @@
         prompts: Whether it serves prompts with streamed answers.
         crash_segment: Segment of a prompt on which it crashes; empty for none.
         crash_body: Body of a request on which it crashes; empty for none.
+        cold_ms: Time for which it is cold after its start, in ms.
     """
     soak.SoakEngine(
         address,
@@ -150,6 +152,7 @@
         base.SystemClock(),
         crash_segment,
         crash_body.encode(),
+        cold_ms,
     ).start()
     _sleep_forever()
 
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cold.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cold.py
@@ -111,6 +111,11 @@
             default=0,
         )
 
+    def resume(self, instance):
+        """Lets an instance run again that was paused."""
+        self.stopped.discard(instance.name)
+        self.network.receivers[instance.peers.ip] = instance.peers
+
     def others(self, instance):
         return [i for i in self.instances if i is not instance]
 
@@ -443,7 +448,7 @@
 
 @pytest.mark.parametrize("seed", range(6))
 def test_rate_is_kept_through_random_failures(plain_codec, cold_config, seed):
-    """Lost messages, cuts, restarts and views that differ, at random."""
+    """Lost messages, cuts, restarts, pauses and views that differ."""
     rng = random.Random(seed)
     instances = rng.choice([8, 13, 14, 24, 40])
     fleet = ColdFleet(plain_codec, cold_config, instances, endpoints=2)
@@ -463,7 +468,10 @@
         fleet.stop(stopped)
         fleet.restart_endpoints(["e0", "e1"])
         fleet.run(1.0, 150.0)
-        fleet.start(stopped)
+        if rng.random() < 0.5:
+            fleet.start(stopped)
+        else:
+            fleet.resume(stopped)
         fleet.run(2.0, 150.0)
         for endpoint_id in ("e0", "e1"):
             assert fleet.most_in_a_second(endpoint_id) <= BOUND
