Decide which instances are heard and what endpoints report of the others

Instances that are cut off from each other place long prompts without knowing each other's load, and their parts stall short answers. `placement.Isolation` judges from registered and heard instances whether an instance is isolated, and whether the load of missing ones matters to the others. `unaccounted_load` is what an endpoint reports less what is known and contained in the report. A report holds for 2 s, then its requests are assumed to end within 2 s; the next report replaces it. Parts beside reported answers now cost as much as beside known ones; load surveyed once after a start does not.

--- a/packages/hollycart-bench/src/hollycart_bench/virtual/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/_engine.py
@@ -148,6 +148,21 @@
         duration_ms = max(0.05, (decode_step_ms + prefill_ms) * self.slowness)
         return duration_ms, StepResult(events, tuple(prefilled), completed)
 
+    def report(self) -> tuple[int, int]:
+        """Returns the number of requests and the KV cache in use, in tokens.
+
+        Parts of helpers are not counted as requests.
+        """
+        primaries = [
+            p
+            for p in (*self._prefill_queue, *self._waiting_for_slot)
+            if p.primary
+        ]
+        decoding = [*self._decoding, *self._joining]
+        memory_tokens = sum(p.tokens for p in self._prefill_queue)
+        memory_tokens += sum(r.context for r in decoding)
+        return len(primaries) + len(decoding), memory_tokens
+
     def _slots_used(self) -> int:
         primaries = sum(1 for p in self._prefill_queue if p.primary)
         return primaries + len(self._decoding) + len(self._joining)
--- a/packages/hollycart-bench/src/hollycart_bench/virtual/_play.py
+++ b/packages/hollycart-bench/src/hollycart_bench/virtual/_play.py
@@ -166,9 +166,12 @@
                 number, chosen = payload
                 self._send(number, chosen, now_ms)
             elif event_kind == "announce":
-                self._announce(*payload)
+                instance, chosen = payload
+                self._announce(instance, chosen, now_ms)
             elif event_kind == "abandon":
-                self._abandon(payload)
+                self._abandon(payload, now_ms)
+            elif event_kind == "call":
+                payload(now_ms)
             elif event_kind == "step":
                 endpoint, result = payload
                 self._end_step(endpoint, result, now_ms)
@@ -213,9 +216,7 @@
             kind.max_gap_ms,
         )
         instance = number % len(self.views)
-        chosen = self.policies[instance].choose(
-            placement_prompt, self.model, self.endpoints, now_ms
-        )
+        chosen = self._choose(instance, placement_prompt, now_ms)
         if chosen is None:
             self._schedule(now_ms + _PLACEMENT_RETRY_MS, "place", number)
             return
@@ -241,6 +242,18 @@
             )
         self._schedule(now_ms + chosen.send_delay_ms, "send", (number, chosen))
 
+    def _choose(
+        self, instance: int, prompt: placement.Prompt, now_ms: float
+    ) -> placement.Placement | None:
+        return self.policies[instance].choose(
+            prompt, self.model, self.endpoints, now_ms
+        )
+
+    def _informed(self, number: int, now_ms: float) -> list[placement.LoadView]:
+        """Returns the views of the instances that learn of a prompt's end."""
+        del number, now_ms
+        return self.views
+
     def _send(
         self, number: int, chosen: placement.Placement, now_ms: float
     ) -> None:
@@ -257,19 +270,25 @@
             )
             self._start_step(assignment.endpoint, now_ms)
 
-    def _abandon(self, number: int) -> None:
+    def _abandon(self, number: int, now_ms: float) -> None:
         prompt = self.prompts[number]
         if prompt.time_to_first_event_ms != float("inf"):
             return
-        for assignment in self.views[0].of_attempt(f"{number}"):
+        own_view = self.views[number % len(self.views)]
+        for assignment in own_view.of_attempt(f"{number}"):
             self.engines[assignment.endpoint].cancel(number)
-        for view in self.views:
+        for view in self._informed(number, now_ms):
             view.remove(f"{number}")
 
-    def _announce(self, instance: int, chosen: placement.Placement) -> None:
+    def _announce(
+        self, instance: int, chosen: placement.Placement, now_ms: float
+    ) -> None:
         number = int(chosen.assignments[0].attempt_id)
-        for other_instance, view in enumerate(self.views):
-            if other_instance != instance and not self.prompts[number].complete:
+        for view in self._informed(number, now_ms):
+            if (
+                view is not self.views[instance]
+                and not self.prompts[number].complete
+            ):
                 view.add(f"{instance}", chosen.assignments)
                 if self.prompts[number].time_to_first_event_ms != float("inf"):
                     view.start_decoding(f"{number}")
@@ -290,7 +309,7 @@
             self._record_event(number, now_ms)
         for number in result.completed:
             self.prompts[number].complete = True
-            for view in self.views:
+            for view in self._informed(number, now_ms):
                 view.remove(f"{number}")
         for number in result.prefilled:
             prompt = self.prompts[number]
@@ -307,7 +326,7 @@
         prompt = self.prompts[number]
         if prompt.time_to_first_event_ms == float("inf"):
             prompt.time_to_first_event_ms = now_ms - prompt.arrival.at_ms
-            for view in self.views:
+            for view in self._informed(number, now_ms):
                 view.start_decoding(f"{number}")
         else:
             prompt.longest_gap_so_far_ms = max(
--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -11,7 +11,15 @@
 from hollycart_core.placement._conflicts import needs_confirmation
 from hollycart_core.placement._engine_model import EngineModel
 from hollycart_core.placement._health import EndpointHealth
+from hollycart_core.placement._isolation import MISSING_MS
+from hollycart_core.placement._isolation import CellContact
+from hollycart_core.placement._isolation import HeardInstance
+from hollycart_core.placement._isolation import Isolation
 from hollycart_core.placement._least_busy import least_busy
+from hollycart_core.placement._load_queries import LoadQueries
+from hollycart_core.placement._load_queries import assumed_load
+from hollycart_core.placement._load_queries import needs_queries
+from hollycart_core.placement._load_queries import unaccounted_load
 from hollycart_core.placement._load_view import LoadView
 from hollycart_core.placement._offers import max_remote_loss
 from hollycart_core.placement._placer import Placer
@@ -32,6 +40,7 @@
 __all__ = [
     "ANNOUNCEMENT_LAG_MS",
     "Cell",
+    "CellContact",
     "CellDirectory",
     "CellReport",
     "Endpoint",
@@ -39,7 +48,11 @@
     "EndpointRateLimits",
     "EndpointRestrictions",
     "EngineModel",
+    "HeardInstance",
+    "Isolation",
+    "LoadQueries",
     "LoadView",
+    "MISSING_MS",
     "MIN_RETRY_AFTER_MS",
     "PermitDecision",
     "Placement",
@@ -51,6 +64,7 @@
     "SharedRetryBudget",
     "UnaccountedLoad",
     "Assignment",
+    "assumed_load",
     "attempts_at",
     "cell_name",
     "find_conflicts",
@@ -58,4 +72,6 @@
     "least_busy",
     "max_remote_loss",
     "needs_confirmation",
+    "needs_queries",
+    "unaccounted_load",
 ]
--- a/packages/hollycart-core/src/hollycart_core/placement/_conflicts.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_conflicts.py
@@ -10,7 +10,7 @@
 ANNOUNCEMENT_LAG_MS = 10.0
 # Shortest prefill of a part that may stall other prompts unexpectedly, in ms:
 # it is longer than the gaps that interactive answers accept after a batch step.
-_LONG_PART_MS = 150.0
+LONG_PART_MS = 150.0
 # A slot is contended if at most so many are free after it was taken.
 _CONTENDED_FREE_SLOTS = 1
 
@@ -33,7 +33,7 @@
         slots: Number of slots of the primary.
         view: Assignments of all instances, those of the prompt included.
     """
-    if any(a.prefill_ms >= _LONG_PART_MS for a in assignments):
+    if any(a.prefill_ms >= LONG_PART_MS for a in assignments):
         return True
     used = sum(a.primary for a in view.on_endpoint(assignments[0].endpoint))
     return slots - _CONTENDED_FREE_SLOTS <= used <= slots
@@ -79,7 +79,7 @@
         other.attempt_id
         for a in assignments
         for other in view.on_endpoint(a.endpoint)
-        if a.prefill_ms >= _LONG_PART_MS
+        if a.prefill_ms >= LONG_PART_MS
         and other.attempt_id != a.attempt_id
         and other.attempt_id not in known
         and other.max_gap_ms <= a.prefill_ms
--- a/packages/hollycart-core/src/hollycart_core/placement/_endpoint_state.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_endpoint_state.py
@@ -26,6 +26,9 @@
         slots_used: Number of assignments as primary.
         helper_slots_used: Number of assignments as helper.
         memory_tokens: KV cache in use, in tokens.
+        unaccounted: Number of requests that no instance accounts for, taken to
+            be in decode.
+        unaccounted_gap_ms: Longest gap that their answers accept, in ms.
     """
 
     endpoint: _types.Endpoint
@@ -37,6 +40,8 @@
     slots_used: int
     helper_slots_used: int
     memory_tokens: int
+    unaccounted: int = 0
+    unaccounted_gap_ms: float = float("inf")
 
     @property
     def slots_free(self) -> int:
@@ -102,9 +107,12 @@
         prefill_wait_ms = max(prefill_wait_ms, remaining_ms)
     decode_count = len(decodes)
     unaccounted = view.unaccounted(endpoint.id)
+    unaccounted_count, unaccounted_gap_ms = 0, float("inf")
     if unaccounted is not None:
-        primary_count += unaccounted.requests_left(now_ms)
-        decode_count += unaccounted.requests_left(now_ms)
+        unaccounted_count = unaccounted.requests_left(now_ms)
+        unaccounted_gap_ms = unaccounted.max_gap_ms
+        primary_count += unaccounted_count
+        decode_count += unaccounted_count
         total_context_tokens += unaccounted.memory_left(now_ms)
         used_tokens += unaccounted.memory_left(now_ms)
     slowness = health.slowness(endpoint.id, now_ms)
@@ -118,4 +126,6 @@
         primary_count,
         helper_slots_used,
         used_tokens,
+        unaccounted_count,
+        unaccounted_gap_ms,
     )
--- a/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_load_view.py
@@ -123,6 +123,10 @@
         """Returns whether no assignment is known."""
         return not self._by_attempt
 
+    def attempt_ids(self) -> list[str]:
+        """Returns the ids of all attempts with assignments."""
+        return list(self._by_attempt)
+
     def set_unaccounted(
         self, endpoint: str, load: _unaccounted.UnaccountedLoad
     ) -> None:
@@ -133,6 +137,26 @@
         """Returns the load of an endpoint that no instance accounts for."""
         return self._unaccounted.get(endpoint)
 
+    def has_recent_report(self, endpoint: str, now_ms: float) -> bool:
+        """Returns whether the reported load of an endpoint is still held."""
+        load = self._unaccounted.get(endpoint)
+        return load is not None and now_ms - load.reported_ms <= load.hold_ms
+
+    def clear_unaccounted(self, repeated_only: bool = False) -> None:
+        """Forgets load that no instance accounts for.
+
+        Args:
+            repeated_only: Whether only load that is held until the next report
+                is forgotten.
+        """
+        if not self._unaccounted:
+            return
+        self._unaccounted = {
+            endpoint: load
+            for endpoint, load in self._unaccounted.items()
+            if repeated_only and not load.hold_ms
+        }
+
     def on_endpoint(self, endpoint: str) -> Iterable[_types.Assignment]:
         """Returns the assignments at an endpoint."""
         return self._by_endpoint.get(endpoint, {}).values()
--- a/packages/hollycart-core/src/hollycart_core/placement/_losses.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_losses.py
@@ -44,6 +44,9 @@
 # Weight of an answer that another prompt's prefill makes late, relative to a
 # prompt that is late itself: answers in decode have precedence.
 _INTERFERENCE_FACTOR = 2.0
+# Weight of an answer that no instance accounts for: that of a prompt of the
+# usual length.
+_UNACCOUNTED_WEIGHT = 2.0
 
 
 class InteractiveDemand(NamedTuple):
@@ -146,6 +149,15 @@
         allowed_ms = assignment.max_gap_ms * _USABLE_GAP_SHARE
         if before_ms <= allowed_ms < after_ms:
             loss += assignment.weight * _LATE_LOSS * _INTERFERENCE_FACTOR
+    if state.unaccounted:
+        allowed_ms = state.unaccounted_gap_ms * _USABLE_GAP_SHARE
+        if before_ms <= allowed_ms < after_ms:
+            loss += (
+                state.unaccounted
+                * _UNACCOUNTED_WEIGHT
+                * _LATE_LOSS
+                * _INTERFERENCE_FACTOR
+            )
     # Even without prefill, the batch step is too long for the prompt's own gap.
     if state.decode_step_ms > prompt.max_gap_ms * _USABLE_GAP_SHARE:
         loss += prompt.weight * _LATE_LOSS
