Query endpoints for the load of instances that are not heard

`gateway.ReportedLoad` watches the contact with the cell. An isolated instance queries engines before it places a prompt with a part of 150 ms or more, for 40 ms at most; engines that do not report in time count as busy as the others. If others are missing, one instance of the cell queries every second and announces the result; the messages carry how long it holds and the gap that the unknown answers accept. The query of `LoadSurvey` is used by both; its one bound for all stages of the survey after a start is 400 ms, as before in sum. It leaves out engines that are cold by their entry or in an evacuated zone.

`survey._is_chosen` becomes public, so its test uses the new name.

Log lines `isolated`, `rejoined`, `instances_missing`; counters `load_queries`, `load_queries_unanswered`; gauges `isolated`, `instances_missing`.

--- a/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
@@ -6,6 +6,7 @@
 from hollycart.gateway import _job
 from hollycart.gateway import _peers
 from hollycart.gateway import _permits
+from hollycart.gateway import _reported_load
 from hollycart_core import base
 from hollycart_core import placement
 
@@ -20,6 +21,8 @@
         chooser: Chooses the endpoints.
         delegator: Announces attempts, also those placed by other cells.
         permits: Permits for endpoints that limit their rate.
+        reported_load: Learns the load of endpoints while this instance is
+            isolated.
         peers: Exchange of datagrams with the other instances.
         log: Decision log.
         clock: Source of time.
@@ -30,6 +33,7 @@
         chooser: _chooser.EndpointChooser,
         delegator: _delegator.Delegator,
         permits: _permits.PermitExchange,
+        reported_load: _reported_load.ReportedLoad,
         peers: _peers.PeerExchange,
         log: observe.DecisionLog,
         clock: base.Clock,
@@ -37,6 +41,7 @@
         self.chooser = chooser
         self.delegator = delegator
         self.permits = permits
+        self.reported_load = reported_load
         self.peers = peers
         self.log = log
         self.clock = clock
@@ -56,6 +61,7 @@
         chosen = self._choose(request, progress, attempt_id)
         if not chosen.assignments:
             return chosen
+        self.reported_load.record_placed(attempt_id)
         known = placement.attempts_at(chosen.assignments, self.peers.view)
         self.delegator.add(chosen.assignments)
         confirmed = False
@@ -77,6 +83,12 @@
 
         An endpoint without a permit is no candidate until it has one again.
         """
+        if self.reported_load.contact.is_isolated:
+            preview = self.chooser.preview(
+                request, progress, attempt_id, self.clock.now_ms()
+            )
+            if preview is not None:
+                self.reported_load.refresh(preview.assignments)
         for _ in range(_MAX_PERMIT_QUERIES):
             chosen = self.chooser.choose(
                 request, progress, attempt_id, self.clock.now_ms()
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -140,6 +140,24 @@
             )
         return chosen
 
+    def preview(
+        self,
+        request: _job.AdmittedRequest,
+        progress: _job.Progress,
+        attempt_id: str,
+        now_ms: float,
+    ) -> placement.Placement | None:
+        """Returns the best placement of a prompt in the own cell, if any.
+
+        The prompt is not offered to other cells.
+        """
+        if request.service.engine is None or not request.meta.prompt_tokens:
+            return None
+        prompt = self._make_prompt(request, progress, attempt_id, now_ms)
+        return self.place_in_cell(
+            request.service, prompt, progress.excluded, now_ms
+        )
+
     def place_in_cell(
         self,
         service: routing.Service,
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -23,10 +23,12 @@
 from hollycart.gateway import _notices
 from hollycart.gateway import _peers
 from hollycart.gateway import _permits
+from hollycart.gateway import _reported_load
 from hollycart.gateway import _reserver
 from hollycart.gateway import _settings
 from hollycart.gateway import _state
 from hollycart.gateway import _stream_watch
+from hollycart.gateway import _survey
 from hollycart.gateway import _waiting
 from hollycart_core import base
 from hollycart_core import connections
@@ -161,8 +163,20 @@
         self._delegate = _delegate.Delegate(
             peers, self.chooser, self.permits, platform_state, clock
         )
+        self.survey = _survey.LoadSurvey(
+            peers, platform_state, codec, self.notices, log, clock
+        )
+        self.reported_load = _reported_load.ReportedLoad(
+            peers, platform_state, self.survey, log, metrics, clock
+        )
         self._attempt_placer = _attempt_placer.AttemptPlacer(
-            self.chooser, self.delegator, self.permits, peers, log, clock
+            self.chooser,
+            self.delegator,
+            self.permits,
+            self.reported_load,
+            peers,
+            log,
+            clock,
         )
         self._liveness = _liveness.EndpointLiveness(codec, self.notices, clock)
         self._attempt_relay = _attempt.AttemptRelay(
@@ -182,6 +196,7 @@
         """Starts the probes of endpoints and the exchange with other cells."""
         self.monitor.start()
         self._delegate.start()
+        self.reported_load.start()
         self.subscribe()
 
     def subscribe(self) -> None:
@@ -216,6 +231,8 @@
     def close(self) -> None:
         """Stops the probes and closes idle connections."""
         self.monitor.close()
+        self.survey.close()
+        self.reported_load.close()
         self._delegate.close()
         self.pool.close()
 
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -13,7 +13,6 @@
 from hollycart.gateway import _registration
 from hollycart.gateway import _settings
 from hollycart.gateway import _state
-from hollycart.gateway import _survey
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import kv
@@ -136,14 +135,6 @@
             self.rng,
         )
         self.reader.on_store_restored = self._registration.handle_restored_store
-        self._survey = _survey.LoadSurvey(
-            self.peers,
-            self.platform_state,
-            self.codec,
-            self.forwarder.notices,
-            self.log,
-            clock,
-        )
         self.front_server = connections.HttpExchangeServer(
             cfg.front_address, self.forwarder.handle, clock
         )
@@ -221,7 +212,6 @@
         self._metrics_server.close()
         self._registration.close()
         self.reader.close()
-        self._survey.close()
         self.peers.close()
         self.forwarder.close()
 
@@ -286,7 +276,7 @@
             # Peers reply to the first heartbeat with theirs.
             self._announced = True
             self.peers.send_heartbeat()
-            self._survey.start()
+            self.forwarder.survey.start()
 
     def _apply_cells(self) -> None:
         """Divides the fleet into cells by the engines and instances listed."""
@@ -337,11 +327,14 @@
         now_ms = self.clock.now_ms()
         cfg = self.platform_state.config
         raw = self.platform_state.raw
+        contact = self.forwarder.reported_load.contact
         values = {
             "running": float(self.front_server.running),
             "ready": float(self.ready),
             "peers": float(len(self.peers.live())),
             "fleet_instances": float(self.peers.fleet_size()),
+            "isolated": float(contact.is_isolated),
+            "instances_missing": float(contact.missing),
             "cell_zones": float(len(self.peers.book.cell)),
             "other_cells": float(len(self.peers.book.other_cells)),
             "datagrams_malformed": float(self.peers.malformed),
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -286,11 +286,16 @@
         endpoint: Id of the endpoint.
         requests: Number of requests that run or wait there.
         memory_tokens: KV cache that they hold, in tokens.
+        hold_ms: Time before any of them is assumed to end, in whole ms.
+        max_gap_ms: Longest gap that their answers accept, in whole ms; 0 if
+            prefill beside them is not taken to disturb them.
     """
 
     endpoint: str
     requests: int
     memory_tokens: int
+    hold_ms: int = 0
+    max_gap_ms: int = 0
 
 
 class UnaccountedLoads(msgspec.Struct, tag="r", array_like=True):
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -18,7 +18,7 @@
 from hollycart_core import placement
 
 _HEARTBEAT_INTERVAL_MS = 1000.0
-_PEER_TIMEOUT_MS = 3200.0  # three missed heartbeats
+_PEER_TIMEOUT_MS = placement.MISSING_MS
 # Heartbeats are spread by this share of their interval to both sides.
 _HEARTBEAT_JITTER = 0.1
 # Time without a heartbeat of its own after which a process has not been
@@ -248,6 +248,13 @@
         paused = now_ms - self._last_beat_ms > _PAUSE_MS
         return not paused and now_ms - self._running_since_ms >= _SETTLE_MS
 
+    def heard(self) -> dict[str, placement.HeardInstance]:
+        """Returns for each known peer, by name, its last sign of life."""
+        return {
+            name: placement.HeardInstance(peer.last_heard_ms, peer.draining)
+            for name, peer in self._peers.items()
+        }
+
     def live(self) -> dict[str, bool]:
         """Returns for each live peer, by name, whether it reads the store."""
         cutoff_ms = self.clock.now_ms() - _PEER_TIMEOUT_MS
@@ -318,6 +325,8 @@
                     report.memory_tokens,
                     now_ms,
                     _UNACCOUNTED_DURATION_MS,
+                    report.hold_ms,
+                    report.max_gap_ms or float("inf"),
                 ),
             )
 
--- a/packages/hollycart/src/hollycart/gateway/_survey.py
+++ b/packages/hollycart/src/hollycart/gateway/_survey.py
@@ -18,7 +18,7 @@
 
 # Time for the peers' replies to the first heartbeat, in ms.
 _PEER_REPLY_MS = 20.0
-_QUERY_TIMEOUT_MS = 100.0
+_QUERY_TIMEOUT_MS = 400.0
 _MAX_BODY_BYTES = 1 << 20
 
 
@@ -67,34 +67,21 @@
 
     def _run(self) -> None:
         self.clock.sleep_ms(_PEER_REPLY_MS)
-        if self.peers.view.is_empty() and self._is_chosen():
+        if self.peers.view.is_empty() and self.is_chosen():
             self.run()
 
-    def _is_chosen(self) -> bool:
+    def is_chosen(self) -> bool:
+        """Returns whether this instance queries for all live ones."""
         names = [self.peers.name, *self.peers.live()]
         return base.rendezvous_rank("survey", names)[0] == self.peers.name
 
     def run(self) -> None:
         """Queries the endpoints and announces the load that they report."""
-        cfg = self.platform_state.config
-        if cfg is None:
-            return
-        queried = [
-            e
-            for e in self.platform_state.endpoints.values()
-            if self.notices.restrictions.accepts(e, self.clock.now_ms())
-            and self.notices.limits.find(e) is None
-            and self.peers.book.is_in_cell(e.zone)
-            and e.service in cfg.services
-            and cfg.services[e.service].engine is not None
-        ]
-        pool = greenpool.GreenPool(max(1, len(queried)))
+        queried = self.endpoints()
         reports = [
-            _messages.EndpointReport(e.id, r.requests, r.memory_tokens)
-            for e, r in zip(
-                queried, pool.imap(self._query, queried), strict=True
-            )
-            if r is not None and r.requests
+            _messages.EndpointReport(endpoint, r.requests, r.memory_tokens)
+            for endpoint, r in self.query(queried, _QUERY_TIMEOUT_MS).items()
+            if r.requests
         ]
         self.log.write(
             observe.decisions.LoadSurveyed(
@@ -103,17 +90,60 @@
         )
         self.peers.add_unaccounted(reports)
 
+    def endpoints(self) -> list[placement.Endpoint]:
+        """Returns the engines of the own cell that may be queried.
+
+        Endpoints that are leaving, paused, limited, cold or in an evacuated
+        availability zone are not.
+        """
+        snapshot = self.platform_state.snapshot
+        if snapshot is None or snapshot.config is None:
+            return []
+        services, now_ms = snapshot.config.services, self.clock.now_ms()
+        return [
+            e
+            for e in self.platform_state.endpoints.values()
+            if self.notices.restrictions.accepts(e, now_ms)
+            and self.notices.limits.find(e) is None
+            and not e.cold_left_ms
+            and e.zone not in snapshot.evacuated
+            and self.peers.book.is_in_cell(e.zone)
+            and e.service in services
+            and services[e.service].engine is not None
+        ]
+
+    def query(
+        self, endpoints: list[placement.Endpoint], timeout_ms: float
+    ) -> dict[str, _codec.EndpointLoad]:
+        """Returns the load of the endpoints that report it in time, by id.
+
+        Args:
+            endpoints: The endpoints to query, all at once.
+            timeout_ms: Time until the last report is awaited, in ms.
+        """
+        end_ms = self.clock.now_ms() + timeout_ms
+        pool = greenpool.GreenPool(max(1, len(endpoints)))
+        answers = pool.imap(lambda e: self._query(e, end_ms), endpoints)
+        return {
+            e.id: load
+            for e, load in zip(endpoints, answers, strict=True)
+            if load is not None
+        }
+
     def _query(
-        self, endpoint: placement.Endpoint
+        self, endpoint: placement.Endpoint, end_ms: float
     ) -> _codec.EndpointLoad | None:
+        def left_ms() -> float:
+            return max(1.0, end_ms - self.clock.now_ms())
+
         conn = connections.ClientConnection(endpoint.address, self.clock)
         try:
-            conn.start(_QUERY_TIMEOUT_MS)
+            conn.start(left_ms())
             sent_ms = self.clock.now_ms()
-            conn.send(self.codec.encode_load_query(), b"", _QUERY_TIMEOUT_MS)
-            head = conn.read_head(_QUERY_TIMEOUT_MS)
+            conn.send(self.codec.encode_load_query(), b"", left_ms())
+            head = conn.read_head(left_ms())
             self.notices.record(endpoint, head, sent_ms)
-            body = conn.read_body(_QUERY_TIMEOUT_MS, _MAX_BODY_BYTES)
+            body = conn.read_body(left_ms(), _MAX_BODY_BYTES)
             return self.codec.decode_load(head, body)
         except base.HollycartError as exc:
             logging.info("load of %s is unknown: %s", endpoint.id, exc.detail)
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -359,6 +359,9 @@
 
 
 _REQUEST = types.SimpleNamespace(meta=types.SimpleNamespace(request_id="r"))
+_ALL_HEARD = types.SimpleNamespace(
+    contact=placement.CellContact(), record_placed=lambda attempt_id: None
+)
 
 
 def test_long_prompt_avoids_short_ones_that_were_placed_at_the_same_time():
@@ -380,6 +383,7 @@
         _Chooser(fleet, first, prompt),
         first.delegator,
         first.permits,
+        _ALL_HEARD,
         first.peers,
         observe.DecisionLog("a-0", fleet.clock),
         _InterruptedClock(now_ms, place_short),
@@ -450,6 +454,7 @@
         chooser,
         first.delegator,
         first.permits,
+        _ALL_HEARD,
         first.peers,
         observe.DecisionLog("a-0", fleet.clock),
         _InterruptedClock(fleet.clock.now_ms(), fail),
--- a/packages/hollycart/src/hollycart/gateway/tests/test_survey.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_survey.py
@@ -56,6 +56,38 @@
         assert chosen.endpoint.id == "e1"
 
 
+def test_endpoint_that_does_not_answer_in_time_is_left_out(
+    system, survey, endpoints, answers
+):
+    """Guards against placements that wait for a silent engine."""
+    endpoints[1].handler = answers.hang
+    loads = survey.query(survey.endpoints(), 200.0)
+    assert {i: load.requests for i, load in loads.items()} == {"e0": 7}
+
+
+@pytest.mark.parametrize(
+    "change", ["leaving", "paused", "limited", "cold", "evacuated"]
+)
+def test_endpoints_that_ask_for_less_are_not_queried(system, survey, change):
+    state, now_ms = system.platform_state, system.clock.now_ms()
+    endpoint, notices = state.endpoints["e0"], system.forwarder.notices
+    if change == "paused":
+        notices.restrictions.record_pause(endpoint, 5000.0, now_ms)
+    elif change == "leaving":
+        state.endpoints["e0"] = endpoint._replace(leaving=True)
+    elif change == "limited":
+        notices.limits.record(
+            placement.RateStatement("e0", 0, 2.0, now_ms, now_ms)
+        )
+    elif change == "cold":
+        state.endpoints["e0"] = endpoint._replace(cold_left_ms=900.0)
+    else:
+        state.endpoints["e0"] = endpoint._replace(zone="y")
+        system.peers.set_cells((frozenset("yz"),))
+        state.snapshot = state.snapshot._replace(evacuated={"y": (1, 1)})
+    assert [e.id for e in survey.endpoints()] == ["e1"]
+
+
 def test_endpoints_are_not_asked_if_the_load_is_known(
     system, survey, endpoints, eventually
 ):
@@ -79,5 +111,5 @@
         system.peers.live = lambda own=name: dict.fromkeys(
             [n for n in names if n != own], True
         )
-        chosen.append(survey._is_chosen())
+        chosen.append(survey.is_chosen())
     assert chosen.count(True) == 1
--- a/packages/hollycart/src/hollycart/observe/decisions/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/__init__.py
@@ -18,6 +18,9 @@
 from hollycart.observe.decisions._endpoints import EndpointUnreachable
 from hollycart.observe.decisions._endpoints import LoadSurveyed
 from hollycart.observe.decisions._endpoints import PermitRefused
+from hollycart.observe.decisions._isolation import InstancesMissing
+from hollycart.observe.decisions._isolation import Isolated
+from hollycart.observe.decisions._isolation import Rejoined
 from hollycart.observe.decisions._lifecycle import Draining
 from hollycart.observe.decisions._lifecycle import LoopDelayed
 from hollycart.observe.decisions._lifecycle import Message
@@ -70,6 +73,9 @@
     Offered,
     PlacedAgain,
     LoadSurveyed,
+    Isolated,
+    Rejoined,
+    InstancesMissing,
     StoreLost,
     StoreRegained,
     StoreRestored,
@@ -103,6 +109,8 @@
     "ForeignAnswer",
     "FreshnessLost",
     "FreshnessRegained",
+    "InstancesMissing",
+    "Isolated",
     "LoadSurveyed",
     "LoopDelayed",
     "Message",
@@ -114,6 +122,7 @@
     "PlacedAgain",
     "QuarantineTrial",
     "Quarantined",
+    "Rejoined",
     "Reloaded",
     "Repeated",
     "Started",
