--- a/packages/hollycart/src/hollycart/gateway/_settings.py
+++ b/packages/hollycart/src/hollycart/gateway/_settings.py
@@ -16,6 +16,8 @@
         memory_bytes: Memory of the process, in bytes; 0 if unknown.
         tolerated_zones: Number of availability zones whose loss must be borne.
         fair_shares: Whether teams share capacity that is scarce.
+        queries_load: Whether endpoints may be asked for their load while
+            instances do not hear each other; read at the start.
         cross_zone_cost_per_gb: Loss that a GB between availability zones is
             worth, in lost requests of weight 1.
     """
@@ -26,6 +28,7 @@
     memory_bytes: int = 0
     tolerated_zones: int = 0
     fair_shares: bool = False
+    queries_load: bool = False
     cross_zone_cost_per_gb: float = 0.0
 
 
