--- a/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/tests/test_judge.py
@@ -152,7 +152,7 @@
     record.evacuations.append(soak.Evacuation("a", ("e-9",), 0.0, 0.0))
     record.exits.append(("n0", 0))
     record.held["e-0"] = 0
-    for event in ("leaving", "pause"):
+    for event in ("leaving", "pause", "cold"):
         record.journal_entries.append(RUN._replace(event=event))
     record.faults.append(soak.Fault("engine_limits", "e-0", 50000.0, 60000.0))
     record.journal_entries.append(RUN._replace(event="limited", at_ms=55000.0))
@@ -337,3 +337,15 @@
         RUN._replace(at_ms=at_ms, engine=engine, event="arrived")
     )
     assert ("evacuated zones get nothing" in violated(record)) == late
+
+
+def test_cold_engine_that_got_too_many_requests_in_a_second(record):
+    """Four are allowed; requests that arrive when it is warm do not count."""
+    cold = RUN._replace(event="cold")
+    for at_ms in (0.0, 100.0, 600.0, 999.0, 1000.0):
+        record.journal_entries.append(cold._replace(at_ms=at_ms))
+    assert not violated(record)
+    record.journal_entries.append(RUN._replace(at_ms=700.0, request_id="q"))
+    assert not violated(record)
+    record.journal_entries.append(cold._replace(at_ms=1050.0))
+    assert violated(record) == {"cold engines get few requests"}
--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -18,7 +18,15 @@
 from hollycart_core.placement._evacuations import ZoneEvacuation
 from hollycart_core.placement._evacuations import ZoneEvacuations
 from hollycart_core.placement._health import EndpointHealth
+from hollycart_core.placement._isolation import MISSING_MS
+from hollycart_core.placement._isolation import CellContact
+from hollycart_core.placement._isolation import HeardInstance
+from hollycart_core.placement._isolation import Isolation
 from hollycart_core.placement._least_busy import least_busy
+from hollycart_core.placement._load_queries import LoadQueries
+from hollycart_core.placement._load_queries import assumed_load
+from hollycart_core.placement._load_queries import needs_queries
+from hollycart_core.placement._load_queries import unaccounted_load
 from hollycart_core.placement._load_view import LoadView
 from hollycart_core.placement._offers import max_remote_loss
 from hollycart_core.placement._placer import Placer
@@ -42,6 +50,7 @@
 __all__ = [
     "ANNOUNCEMENT_LAG_MS",
     "Cell",
+    "CellContact",
     "CellDirectory",
     "CellReport",
     "ColdEndpoints",
@@ -51,8 +60,12 @@
     "EndpointRateLimits",
     "EndpointRestrictions",
     "EngineModel",
+    "HeardInstance",
+    "Isolation",
+    "LoadQueries",
     "LoadView",
     "LocalShares",
+    "MISSING_MS",
     "MIN_RETRY_AFTER_MS",
     "PermitDecision",
     "Placement",
@@ -69,6 +82,7 @@
     "ZoneEvacuation",
     "ZoneEvacuations",
     "Assignment",
+    "assumed_load",
     "attempts_at",
     "cell_name",
     "cold_rate",
@@ -78,4 +92,6 @@
     "max_remote_loss",
     "measure_usage",
     "needs_confirmation",
+    "needs_queries",
+    "unaccounted_load",
 ]
--- a/packages/hollycart-core/src/hollycart_core/placement/_conflicts.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_conflicts.py
@@ -10,7 +10,7 @@
 ANNOUNCEMENT_LAG_MS = 10.0
 # Shortest prefill of a part that may stall other prompts unexpectedly, in ms:
 # it is longer than the gaps that interactive answers accept after a batch step.
-_LONG_PART_MS = 150.0
+LONG_PART_MS = 150.0
 # Shares of the gap that an answer in decode accepts: what the prefill in one
 # batch step may take of it, and from which a part leaves no room for another
 # one. The decode in the step and the error of predictions take the rest.
@@ -41,7 +41,7 @@
         view: Assignments of all instances, those of the prompt included.
     """
     if any(
-        a.prefill_ms >= _LONG_PART_MS
+        a.prefill_ms >= LONG_PART_MS
         or a.prefill_ms >= _CONFIRMED_GAP_SHARE * _shortest_gap_ms(a, view)
         for a in assignments
     ):
@@ -135,7 +135,7 @@
         other.attempt_id
         for a in assignments
         for other in view.on_endpoint(a.endpoint)
-        if a.prefill_ms >= _LONG_PART_MS
+        if a.prefill_ms >= LONG_PART_MS
         and other.attempt_id != a.attempt_id
         and other.attempt_id not in known
         and other.max_gap_ms <= a.prefill_ms
--- a/packages/hollycart/src/hollycart/observe/decisions/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/__init__.py
@@ -22,6 +22,9 @@
 from hollycart.observe.decisions._evacuations import ZoneEvacuated
 from hollycart.observe.decisions._evacuations import ZoneEvacuationMissing
 from hollycart.observe.decisions._evacuations import ZoneReopened
+from hollycart.observe.decisions._isolation import InstancesMissing
+from hollycart.observe.decisions._isolation import Isolated
+from hollycart.observe.decisions._isolation import Rejoined
 from hollycart.observe.decisions._lifecycle import Draining
 from hollycart.observe.decisions._lifecycle import LoopDelayed
 from hollycart.observe.decisions._lifecycle import Message
@@ -78,6 +81,9 @@
     Offered,
     PlacedAgain,
     LoadSurveyed,
+    Isolated,
+    Rejoined,
+    InstancesMissing,
     StoreLost,
     StoreRegained,
     StoreRestored,
@@ -112,6 +118,8 @@
     "ForeignAnswer",
     "FreshnessLost",
     "FreshnessRegained",
+    "InstancesMissing",
+    "Isolated",
     "LoadSurveyed",
     "LoopDelayed",
     "Message",
@@ -123,6 +131,7 @@
     "PlacedAgain",
     "QuarantineTrial",
     "Quarantined",
+    "Rejoined",
     "Reloaded",
     "Repeated",
     "Started",
