Decide by gain and cost whether a prompt leaves its cell

Fixed thresholds know neither the price of traffic between zones nor the room of the other cells. ZoneSpill compares the predicted loss at home with that expected in the other cell, displaced prompts included, and with the extra round trips and the price of the bytes. ZoneRotation keeps calls to plain services in the zone, in turn.

--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -19,8 +19,10 @@
 from hollycart_core.placement._rate_limits import RateStatement
 from hollycart_core.placement._rate_permits import PermitDecision
 from hollycart_core.placement._rate_permits import RatePermits
+from hollycart_core.placement._response_sizes import ResponseSizes
 from hollycart_core.placement._restrictions import EndpointRestrictions
 from hollycart_core.placement._retry_budget import SharedRetryBudget
+from hollycart_core.placement._types import CROSSING_LOSS
 from hollycart_core.placement._types import MIN_RETRY_AFTER_MS
 from hollycart_core.placement._types import Assignment
 from hollycart_core.placement._types import Endpoint
@@ -28,9 +30,16 @@
 from hollycart_core.placement._types import Prompt
 from hollycart_core.placement._types import Reservation
 from hollycart_core.placement._unaccounted import UnaccountedLoad
+from hollycart_core.placement._zone_room import RecentLosses
+from hollycart_core.placement._zone_room import ServiceRoom
+from hollycart_core.placement._zone_rotation import ZoneRotation
+from hollycart_core.placement._zone_spill import HomeState
+from hollycart_core.placement._zone_spill import SpillOffer
+from hollycart_core.placement._zone_spill import ZoneSpill
 
 __all__ = [
     "ANNOUNCEMENT_LAG_MS",
+    "CROSSING_LOSS",
     "Cell",
     "CellDirectory",
     "CellReport",
@@ -39,6 +48,7 @@
     "EndpointRateLimits",
     "EndpointRestrictions",
     "EngineModel",
+    "HomeState",
     "LoadView",
     "MIN_RETRY_AFTER_MS",
     "PermitDecision",
@@ -47,9 +57,15 @@
     "Prompt",
     "RatePermits",
     "RateStatement",
+    "RecentLosses",
     "Reservation",
+    "ResponseSizes",
+    "ServiceRoom",
     "SharedRetryBudget",
+    "SpillOffer",
     "UnaccountedLoad",
+    "ZoneRotation",
+    "ZoneSpill",
     "Assignment",
     "attempts_at",
     "cell_name",
--- a/packages/hollycart-core/src/hollycart_core/placement/_cell_directory.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_cell_directory.py
@@ -3,6 +3,8 @@
 import random
 from typing import NamedTuple
 
+from hollycart_core.placement import _zone_room
+
 # Age above which a report says nothing any more, in ms. Queues of engines are
 # built up and processed within this time.
 _MAX_REPORT_AGE_MS = 3000.0
@@ -20,12 +22,28 @@
         open_endpoints: Number of its endpoints with a free slot and without a
             prefill, by service.
         made_ms: Instant at which the report was made.
+        rooms: Room for prompts, by service; empty if prompts are offered by
+            fixed thresholds.
     """
 
     cell: str
     instances: int
     open_endpoints: dict[str, int]
     made_ms: float
+    rooms: dict[str, _zone_room.ServiceRoom] = {}
+
+    def recency(self, now_ms: float) -> float:
+        """Returns how much the report counts: 1 if it is new, down to 0."""
+        age_ms = max(0.0, now_ms - self.made_ms)
+        return max(0.0, 1.0 - age_ms / _MAX_REPORT_AGE_MS)
+
+    def room(self, service: str) -> _zone_room.ServiceRoom:
+        """Returns the room for prompts of a service.
+
+        Instances without this report it by their open endpoints only.
+        """
+        count = self.open_endpoints.get(service, 0)
+        return self.rooms.get(service, _zone_room.ServiceRoom(count, count))
 
 
 class CellDirectory:
@@ -70,6 +88,13 @@
             if now_ms - r.made_ms <= _MAX_REPORT_AGE_MS
         ]
 
+    def find(self, cell: str, now_ms: float) -> CellReport | None:
+        """Returns the report of a cell unless it is outdated."""
+        report = self._reports.get(cell)
+        if report is None or now_ms - report.made_ms > _MAX_REPORT_AGE_MS:
+            return None
+        return report
+
     def instances(self, cell: str, now_ms: float) -> int:
         """Returns the number of live instances of a cell; 0 if unknown."""
         report = self._reports.get(cell)
--- a/packages/hollycart-core/src/hollycart_core/placement/_losses.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_losses.py
@@ -32,8 +32,6 @@
 # Loss of the first short answer at an endpoint, since it keeps long prompts
 # from being prefilled there.
 _FIRST_SHORT_ANSWER_LOSS = 0.04
-# Loss of a primary in another availability zone than the instance.
-_CROSS_ZONE_LOSS = 0.002
 # Share of a prompt's loss that counts if it is late but still answered.
 _LATE_LOSS = 0.75
 # Share of a prompt's loss that counts if it is late in any case and delayed
@@ -96,6 +94,34 @@
     )
 
 
+def late_loss(weight: float, probability: float) -> float:
+    """Returns the loss of a prompt that is late with a probability."""
+    return weight * _LATE_LOSS * probability
+
+
+def extra_delay_loss(
+    prompt: _types.Prompt, base_loss: float, extra_ms: float
+) -> float:
+    """Returns the loss of a delay of a prompt that is served otherwise well.
+
+    Args:
+        prompt: The prompt.
+        base_loss: Its loss without the delay, relative to its weight.
+        extra_ms: The delay, in ms.
+    """
+    steepness = _LATE_LOSS / (1.0 - _LATE_FROM_SHARE) + _LATENCY_LOSS
+    early_loss = _LATENCY_LOSS * _LATE_FROM_SHARE
+    if base_loss <= early_loss:
+        target_share = base_loss / _LATENCY_LOSS
+    else:
+        late_share = (base_loss - early_loss) / steepness
+        target_share = min(1.0, _LATE_FROM_SHARE + late_share)
+    before_ms = target_share * max(1.0, prompt.target_ms)
+    return delay_loss(prompt, before_ms + extra_ms) - delay_loss(
+        prompt, before_ms
+    )
+
+
 def helper_occupancy_loss(
     prompt: _types.Prompt,
     first_event_ms: float,
@@ -229,7 +255,7 @@
     """Returns the loss of decoding the answer at an endpoint."""
     loss = slot_contention_loss(state, prompt, concurrent)
     if prompt.zone and state.endpoint.zone != prompt.zone:
-        loss += _CROSS_ZONE_LOSS
+        loss += prompt.crossing_loss
     serves_similar = any(
         a.max_gap_ms <= prompt.max_gap_ms for a in state.decodes
     )
--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -115,6 +115,22 @@
                 count += 1
         return count
 
+    def count_slots(
+        self, endpoints: Iterable[_types.Endpoint]
+    ) -> tuple[int, int]:
+        """Returns the free slots of endpoints without a prefill, and all slots.
+
+        An endpoint with a prefill has no room: another prompt would wait.
+        """
+        free = total = 0
+        for endpoint in endpoints:
+            total += endpoint.slots
+            assigned = self.view.on_endpoint(endpoint.id)
+            if all(a.decoding for a in assigned):
+                used = sum(a.primary for a in assigned)
+                free += max(0, endpoint.slots - used)
+        return free, total
+
     def expected_decode_step_ms(
         self, endpoint: str, model: _engine_model.EngineModel
     ) -> float | None:
--- a/packages/hollycart-core/src/hollycart_core/placement/_search.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_search.py
@@ -180,6 +180,8 @@
             )
             + _HELPER_LOSS * len(chosen_helpers)
         )
+        for state in chosen_helpers:
+            predicted_loss += self._crossing_loss(state)
         for state in participants:
             queued_prefill_ms = 0.0 if delayed else state.prefill_wait_ms
             predicted_loss += _losses.interference_loss(
@@ -308,7 +310,16 @@
         self, states: list[_endpoint_state.EndpointState], part_ms: float
     ) -> list[_endpoint_state.EndpointState]:
         """Sorts endpoints by the loss of prefilling a part there."""
-        return sorted(states, key=lambda s: self._part_loss(s, part_ms))
+        return sorted(
+            states,
+            key=lambda s: self._part_loss(s, part_ms) + self._crossing_loss(s),
+        )
+
+    def _crossing_loss(self, helper: _endpoint_state.EndpointState) -> float:
+        """Returns the loss of a helper in another zone than the instance."""
+        if helper.endpoint.zone == self.prompt.zone or not self.prompt.zone:
+            return 0.0
+        return self.prompt.helper_crossing_loss
 
     def _rank_primaries(
         self, part_ms: float
--- a/packages/hollycart-core/src/hollycart_core/placement/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_types.py
@@ -34,6 +34,11 @@
     cold_left_ms: float = 0.0
 
 
+# Loss of a primary in another availability zone than the instance, without a
+# price of the traffic: it decides between equal endpoints.
+CROSSING_LOSS = 0.002
+
+
 class Prompt(NamedTuple):
     """A request to a model engine, as far as placement needs it.
 
@@ -46,6 +51,8 @@
         max_gap_ms: Longest acceptable gap between events, in ms.
         zone: Availability zone of the instance that sends the prompt.
         usual_tokens: Mean length of the service's prompts, in tokens.
+        crossing_loss: Loss of a primary in another zone.
+        helper_crossing_loss: Loss of a helper in another zone.
     """
 
     attempt_id: str
@@ -56,6 +63,8 @@
     max_gap_ms: float
     zone: str = ""
     usual_tokens: float = routing.DEFAULT_USUAL_PROMPT_TOKENS
+    crossing_loss: float = CROSSING_LOSS
+    helper_crossing_loss: float = 0.0
 
     @property
     def weight(self) -> float:
