Leave the zone by gain and cost where a deployment asks for it

Offers between cells use ZoneSpill and plain services ZoneRotation where zones may be lost or their traffic has a price, in fleets of several cells. The line offered contains the terms, and counters say what crossed to which zone. An offer of a prompt without any way at home has no bound on its loss, since the alternative is a placement without knowing the load.

--- a/packages/hollycart-core/src/hollycart_core/placement/_zone_spill.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_zone_spill.py
@@ -148,6 +148,8 @@
             )
             if offer is None:
                 continue
+            if own is None:
+                offer = offer._replace(max_loss=math.inf)
             weight = self._free_slots(offer, home, now_ms, refused)
             if not refused:
                 share = self._own_part(offer, home, weight, now_ms)
@@ -217,10 +219,14 @@
         self._round_trips_ms[offer.cell] = known_ms + _ERROR_STEP * (
             wait_ms - known_ms
         )
+        # A cell that is asked since there is no other way declines for want of
+        # memory; nothing is learned from the bound on its loss.
+        if math.isinf(loss):
+            return
         seen = abs(loss - offer.expected_loss) / offer.weight
         error = self.error(now_ms)
-        error += _ERROR_STEP * (seen - error)
-        self._error = (min(_MAX_ERROR, max(_MIN_ERROR, error)), now_ms)
+        error += _ERROR_STEP * (min(_MAX_ERROR, seen) - error)
+        self._error = (max(_MIN_ERROR, error), now_ms)
 
     def _weigh(
         self,
@@ -235,7 +241,7 @@
     ) -> SpillOffer | None:
         """Returns the offer to one cell; None if it does not pay."""
         report = self.directory.find(cell, now_ms)
-        if report is None or report.made_ms < self._silent_ms.get(
+        if report is None or report.made_ms <= self._silent_ms.get(
             cell, -math.inf
         ):
             if not refused:
--- a/packages/hollycart-core/src/hollycart_core/placement/tests/test_zone_spill.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/tests/test_zone_spill.py
@@ -106,6 +106,7 @@
     """Without room at home, a cell that nobody heard of is the last way."""
     offer = decide(make_spill({}), own, cells="b")
     assert (offer.cell, offer.age_ms, offer.share) == ("b", None, None)
+    assert math.isinf(offer.max_loss) == (own is None)
 
 
 def test_older_summaries_count_less():
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -141,6 +141,7 @@
         if self.has_retries(request.service.name):
             body_end_ms = max(head_end_ms, now_ms + _MIN_BODY_TIMEOUT_MS)
         body = conn.read_body(body_end_ms - now_ms, _MAX_BODY_BYTES)
+        progress.received_bytes += len(body)
         self._confirm_end(request, chosen, head)
         if not success and self._should_retry(request, progress, head):
             raise base.EndpointFailedError(
@@ -312,6 +313,7 @@
             data = self._read_data(request, progress, chosen, conn, event_ms)
             if data is None:
                 break
+            progress.received_bytes += len(data)
             complete = events.feed(data)
             relayed_bytes += len(complete)
             if events.overflowing or relayed_bytes > limit_bytes:
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -7,6 +7,7 @@
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
 from hollycart.gateway import _permits
+from hollycart.gateway import _spill
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import placement
@@ -29,6 +30,7 @@
         book: Division of the fleet into cells.
         delegator: Offers prompts to other cells.
         zone: Availability zone of this instance.
+        spill: Decides what leaves the zone, where that is asked for.
 
     Attributes:
         in_flight: Attempts of this instance in flight, by endpoint.
@@ -44,6 +46,7 @@
         book: _address_book.AddressBook,
         delegator: _delegator.Delegator,
         zone: str,
+        spill: _spill.ZoneSpillControl | None = None,
     ) -> None:
         self.platform_state = platform_state
         self.placer = placer
@@ -53,6 +56,7 @@
         self.book = book
         self.delegator = delegator
         self.zone = zone
+        self.spill = spill
         self.in_flight: collections.Counter[str] = collections.Counter()
         self._models: dict[routing.EngineParameters, placement.EngineModel] = {}
 
@@ -81,11 +85,7 @@
             if progress.is_isolated:
                 idle = [e for e in candidates if not self.in_flight[e.id]]
                 candidates = idle or candidates
-            endpoint = placement.least_busy(
-                candidates,
-                self.in_flight,
-                self.zone,
-            )
+            endpoint = self._choose_plain(candidates, now_ms)
             assert endpoint is not None
             return placement.Placement(endpoint, (), (), 0.0, 0.0)
         model = self.model(service.engine)
@@ -108,6 +108,7 @@
                     prompt,
                     progress.excluded,
                     own,
+                    len(request.exchange.body),
                 )
                 or own
             )
@@ -138,8 +139,27 @@
                 f"caller leaves in {prompt.remaining_ms:.0f} ms",
                 retry_after_ms,
             )
+        if chosen is own:
+            self.record_placement(service.name, prompt, chosen)
         return chosen
 
+    def _choose_plain(
+        self, candidates: list[placement.Endpoint], now_ms: float
+    ) -> placement.Endpoint | None:
+        if self.spill is None:
+            return placement.least_busy(candidates, self.in_flight, self.zone)
+        return self.spill.choose_plain(candidates, self.in_flight, now_ms)
+
+    def record_placement(
+        self,
+        service: str,
+        prompt: placement.Prompt,
+        chosen: placement.Placement,
+    ) -> None:
+        """Records the placement of a prompt in the own cell."""
+        if self.spill is not None:
+            self.spill.record_placement(service, prompt, chosen)
+
     def place_in_cell(
         self,
         service: routing.Service,
@@ -189,6 +209,34 @@
             if service.engine is not None
         }
 
+    def rooms(self, now_ms: float) -> dict[str, placement.ServiceRoom]:
+        """Returns the room of the own cell for prompts, by service.
+
+        Endpoints that get requests at a limited rate only are not counted: no
+        prompts should come from other cells for them.
+        """
+        cfg = self.platform_state.config
+        if cfg is None or self.spill is None or not self.spill.in_force:
+            return {}
+        found = {}
+        for name, service in cfg.services.items():
+            if service.engine is None:
+                continue
+            accepting = [
+                e
+                for e in self._accepting(name, now_ms)
+                if self.book.is_in_cell(e.zone)
+                and self.health.usable(e.id, now_ms)
+            ]
+            limited = self._primary_only(accepting)
+            found[name] = placement.ServiceRoom(
+                *self.placer.count_slots(
+                    e for e in accepting if e.id not in limited
+                ),
+                self.spill.mean_loss(name, now_ms),
+            )
+        return found
+
     def _busy_endpoints(self, service: str) -> set[str]:
         """Returns the ids of the endpoints that run prompts."""
         view = self.placer.view
@@ -217,7 +265,7 @@
             request.deadline_ms - decode_ms,
             last_activity_ms + request.route.abandon_after_ms,
         )
-        return placement.Prompt(
+        prompt = placement.Prompt(
             attempt_id,
             request.meta.prompt_tokens,
             request.meta.output_tokens,
@@ -227,6 +275,11 @@
             self.zone,
             request.service.engine.usual_prompt_tokens,
         )
+        if self.spill is None:
+            return prompt
+        return self.spill.with_crossing_losses(
+            request.service.name, prompt, len(request.exchange.body)
+        )
 
     def model(
         self, parameters: routing.EngineParameters
--- a/packages/hollycart/src/hollycart/gateway/_delegate.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegate.py
@@ -10,6 +10,7 @@
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import placement
+from hollycart_core import routing
 
 _EXPIRY_INTERVAL_MS = 1000.0
 # A delegated attempt whose end was not reported is dropped after this multiple
@@ -129,15 +130,7 @@
         service = cfg.services.get(message.service) if cfg else None
         if service is None or service.engine is None:
             return None
-        prompt = placement.Prompt(
-            message.attempt_id,
-            message.tokens,
-            message.output_tokens,
-            message.target_ms,
-            message.remaining_ms,
-            message.max_gap_ms,
-            usual_tokens=service.engine.usual_prompt_tokens,
-        )
+        prompt = self._make_prompt(message, service.engine)
         chosen = self.chooser.place_in_cell(
             service, prompt, set(message.excluded), now_ms
         )
@@ -149,6 +142,21 @@
             return None
         return chosen
 
+    def _make_prompt(
+        self,
+        message: _messages.PlacementRequest,
+        engine: routing.EngineParameters,
+    ) -> placement.Prompt:
+        return placement.Prompt(
+            message.attempt_id,
+            message.tokens,
+            message.output_tokens,
+            message.target_ms,
+            message.remaining_ms,
+            message.max_gap_ms,
+            usual_tokens=engine.usual_prompt_tokens,
+        )
+
     def _accept(
         self,
         message: _messages.PlacementRequest,
@@ -167,6 +175,9 @@
             now_ms + _EXPIRY_FACTOR * duration_ms
         )
         self.peers.add(chosen.assignments)
+        self.chooser.record_placement(
+            message.service, self._make_prompt(message, engine), chosen
+        )
 
     def _handle_progress(
         self, message: _messages.DelegatedProgress, ip: str
--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -8,6 +8,7 @@
 from hollycart.gateway import _messages
 from hollycart.gateway import _peers
 from hollycart.gateway import _permits
+from hollycart.gateway import _spill
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import placement
@@ -36,6 +37,7 @@
         log: Decision log.
         clock: Source of time.
         rng: Source of randomness.
+        spill: Decides by gain and cost where that is asked for.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         log: observe.DecisionLog,
         clock: base.Clock,
         rng: random.Random,
+        spill: _spill.ZoneSpillControl | None = None,
     ) -> None:
         self.peers = peers
         self.platform_state = platform_state
@@ -55,6 +58,7 @@
         self.log = log
         self.clock = clock
         self.rng = rng
+        self.spill = spill
         self._awaited: dict[str, event.Event] = {}
         self._delegated: dict[str, str] = {}
 
@@ -69,6 +73,7 @@
         prompt: placement.Prompt,
         excluded: set[str],
         own: placement.Placement | None,
+        body_bytes: int = 0,
     ) -> placement.Placement | None:
         """Offers a prompt to another cell if the own one serves it badly.
 
@@ -78,11 +83,35 @@
             prompt: The prompt.
             excluded: Ids of endpoints that are not to be tried.
             own: Best placement in the own cell; None if there is none.
+            body_bytes: Bytes of the request's body.
 
         Returns:
             The placement in another cell; None if there is none, or none that
             is better.
         """
+        own_cost = round(own.predicted_loss, 3) if own else None
+        if self.spill is not None and self.spill.in_force:
+            cells = sorted(self.peers.book.other_cells)
+            for _ in range(_MAX_OFFERS):
+                offer = self.spill.decide(
+                    service, prompt, own, cells, body_bytes
+                )
+                if offer is None:
+                    return None
+                cells.remove(offer.cell)
+                chosen = self._offer_to(
+                    offer.cell,
+                    request_id,
+                    service,
+                    prompt,
+                    excluded,
+                    offer.max_loss,
+                    own_cost,
+                    offer,
+                )
+                if chosen is not None:
+                    return chosen
+            return None
         max_loss = placement.max_remote_loss(prompt, own)
         if max_loss is None:
             return None
@@ -94,7 +123,6 @@
             if cell is None:
                 return None
             cells.remove(cell)
-            own_cost = round(own.predicted_loss, 3) if own else None
             chosen = self._offer_to(
                 cell, request_id, service, prompt, excluded, max_loss, own_cost
             )
@@ -111,10 +139,13 @@
         excluded: set[str],
         max_loss: float,
         own_cost: float | None,
+        offer: placement.SpillOffer | None = None,
     ) -> placement.Placement | None:
         started_ms = self.clock.now_ms()
         contacts = self.peers.book.of_cell(cell)[-_MAX_CONTACTS:]
         if not contacts:
+            if offer is not None and self.spill is not None:
+                self.spill.record_outcome(offer, "no_contact", None, 0.0)
             return None
         ip = self.rng.choice(contacts)
         self.peers.directory.record_offer(cell, service)
@@ -127,6 +158,10 @@
             self.peers.record_state(reply.state)
             chosen = self._to_placement(reply, ip, started_ms)
             outcome = "placed" if chosen else "declined"
+        loss = chosen.predicted_loss if chosen else None
+        wait_ms = self.clock.now_ms() - started_ms
+        if offer is not None and self.spill is not None:
+            self.spill.record_outcome(offer, outcome, loss, wait_ms)
         self.log.write(
             observe.decisions.Offered(
                 request_id,
@@ -135,8 +170,9 @@
                 ip,
                 outcome,
                 own_cost,
-                round(chosen.predicted_loss, 3) if chosen else None,
-                round(self.clock.now_ms() - started_ms, 1),
+                None if loss is None else round(loss, 3),
+                round(wait_ms, 1),
+                None if offer is None else _spill.log_terms(offer),
             )
         )
         return chosen
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -25,6 +25,7 @@
 from hollycart.gateway import _permits
 from hollycart.gateway import _reserver
 from hollycart.gateway import _settings
+from hollycart.gateway import _spill
 from hollycart.gateway import _state
 from hollycart.gateway import _stream_watch
 from hollycart.gateway import _waiting
@@ -138,6 +139,9 @@
         self.permits = _permits.PermitExchange(
             peers, self.notices, log, metrics, clock, rng
         )
+        self.spill = _spill.ZoneSpillControl(
+            peers, lambda: self.policy, metrics, clock, rng
+        )
         self.delegator = _delegator.Delegator(
             peers,
             platform_state,
@@ -146,6 +150,7 @@
             log,
             clock,
             rng,
+            self.spill,
         )
         self.chooser = _chooser.EndpointChooser(
             platform_state,
@@ -156,8 +161,11 @@
             peers.book,
             self.delegator,
             zone,
+            self.spill,
         )
         peers.count_open_endpoints = self.chooser.count_open_endpoints
+        peers.rooms = self.spill.rooms = self.chooser.rooms
+        self.notices.on_response = self._record_load
         self._delegate = _delegate.Delegate(
             peers, self.chooser, self.permits, platform_state, clock
         )
@@ -422,6 +430,8 @@
         self.chooser.in_flight[endpoint.id] += 1
         conn: connections.ClientConnection | None = None
         failure: base.HollycartError | None = None
+        complete = False
+        sent, received_bytes = progress.attempts_sent, progress.received_bytes
         try:
             if chosen.send_delay_ms:
                 self.clock.sleep_ms(chosen.send_delay_ms)
@@ -440,6 +450,7 @@
             self._attempt_relay.run(
                 request, progress, chosen, conn, attempt_id, recorder
             )
+            complete = True
             self.crash_watch.complete(attempt_id)
             self.health.record_success(endpoint.id)
         except base.HollycartError as exc:
@@ -450,6 +461,13 @@
             self.crash_watch.end(attempt_id, failure)
             self.permits.release(attempt_id, endpoint)
             self.dependencies.remove(attempt_id)
+            if progress.attempts_sent > sent:
+                self.spill.record_response(
+                    request,
+                    chosen,
+                    progress.received_bytes - received_bytes,
+                    complete,
+                )
             if conn is not None:
                 self.pool.release_connection(conn)
             self.chooser.in_flight[endpoint.id] -= 1
@@ -458,6 +476,13 @@
             if chosen.assignments:
                 self.delegator.remove(attempt_id)
 
+    def _record_load(
+        self, endpoint: placement.Endpoint, response: _codec.ResponseMeta
+    ) -> None:
+        self.spill.record_load(
+            endpoint, response, self.chooser.in_flight[endpoint.id]
+        )
+
     def _has_retries(self, service: str) -> bool:
         """Returns whether the retry budget of a service has room."""
         left = self.budget.left(
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -282,6 +282,7 @@
         self.forwarder.health.follow_incarnations(
             self.platform_state.endpoints.values()
         )
+        self.forwarder.spill.retain_endpoints(self.platform_state.endpoints)
         if not self._announced and self.platform_state.endpoints:
             # Peers reply to the first heartbeat with theirs.
             self._announced = True
--- a/packages/hollycart/src/hollycart/gateway/_job.py
+++ b/packages/hollycart/src/hollycart/gateway/_job.py
@@ -66,6 +66,7 @@
         framing: How the endpoint declared the end of the response; empty
             before it.
         trailing_bytes: Bytes relayed after the last complete event.
+        received_bytes: Bytes of the bodies of all responses.
     """
 
     def __init__(self, last_event_id: str) -> None:
@@ -89,6 +90,7 @@
         self.status = 0
         self.framing = ""
         self.trailing_bytes = 0
+        self.received_bytes = 0
 
     @property
     def counted_executions(self) -> int:
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -48,6 +48,14 @@
     endpoint_assignments: list[EndpointAssignment]
 
 
+class ServiceRoom(msgspec.Struct, array_like=True):
+    """Room of a cell for a service, as `placement.ServiceRoom`."""
+
+    free_slots: int
+    slots: int
+    mean_loss: float
+
+
 class CellState(msgspec.Struct, array_like=True):
     """Summary of a cell, as instances pass it on.
 
@@ -57,12 +65,15 @@
         open_endpoints: Number of endpoints with a free slot and without a
             prefill, by service.
         age_ms: Time since the summary was made, in whole ms, at the sending.
+        rooms: Room for prompts, by service; empty if prompts are offered by
+            fixed thresholds.
     """
 
     cell: str
     instances: int
     open_endpoints: dict[str, int]
     age_ms: int
+    rooms: dict[str, ServiceRoom] = {}
 
 
 class Heartbeat(msgspec.Struct, tag="h", array_like=True):
@@ -532,6 +543,7 @@
         report.instances,
         report.open_endpoints,
         round(now_ms - report.made_ms),
+        {name: ServiceRoom(*room) for name, room in report.rooms.items()},
     )
 
 
@@ -544,5 +556,14 @@
         True
     """
     return placement.CellReport(
-        state.cell, state.instances, state.open_endpoints, now_ms - state.age_ms
+        state.cell,
+        state.instances,
+        state.open_endpoints,
+        now_ms - state.age_ms,
+        {
+            name: placement.ServiceRoom(
+                room.free_slots, room.slots, room.mean_loss
+            )
+            for name, room in state.rooms.items()
+        },
     )
--- a/packages/hollycart/src/hollycart/gateway/_notices.py
+++ b/packages/hollycart/src/hollycart/gateway/_notices.py
@@ -34,6 +34,9 @@
         log: Decision log.
         metrics: Receives counts.
         clock: Source of time.
+
+    Attributes:
+        on_response: Called with an endpoint and its decoded response.
     """
 
     def __init__(
@@ -59,6 +62,9 @@
         self.log = log
         self.metrics = metrics
         self.clock = clock
+        self.on_response: Callable[
+            [placement.Endpoint, _codec.ResponseMeta], None
+        ] = lambda endpoint, response: None
 
     def record(
         self,
@@ -89,6 +95,7 @@
             and response.retry_after_ms is not None
         ):
             self._record_pause(endpoint, response.retry_after_ms)
+        self.on_response(endpoint, response)
         if (
             response.sealed
             and response.request_id == request_id
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -87,6 +87,7 @@
         directory: Summaries of the other cells.
         count_open_endpoints: Returns the number of endpoints of the own cell
             with a free slot and without a prefill, by service, at an instant.
+        rooms: Returns the room of the own cell by service, at an instant.
         draining: Whether this instance is about to stop.
         on_heartbeat: Called after each heartbeat that was sent.
         on_new_peer: Called with the IP address of an instance of the cell that
@@ -137,6 +138,9 @@
         self.count_open_endpoints: Callable[[float], dict[str, int]] = (
             lambda now_ms: {}
         )
+        self.rooms: Callable[[float], dict[str, placement.ServiceRoom]] = (
+            lambda now_ms: {}
+        )
         self.on_heartbeat: Callable[[], None] = lambda: None
         self.on_new_peer: Callable[[str], None] = lambda ip: None
         self.malformed = 0
@@ -237,6 +241,7 @@
             len(self.live()) + 1,
             self.count_open_endpoints(now_ms),
             now_ms,
+            self.rooms(now_ms),
         )
 
     def is_settled(self, now_ms: float) -> bool:
--- a/packages/hollycart/src/hollycart/observe/decisions/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/__init__.py
@@ -34,6 +34,7 @@
 from hollycart.observe.decisions._requests import Placed
 from hollycart.observe.decisions._requests import PlacedAgain
 from hollycart.observe.decisions._requests import Repeated
+from hollycart.observe.decisions._spill import SpillTerms
 from hollycart.observe.decisions._state import CellChanged
 from hollycart.observe.decisions._state import FreshnessLost
 from hollycart.observe.decisions._state import FreshnessRegained
@@ -116,6 +117,7 @@
     "Quarantined",
     "Reloaded",
     "Repeated",
+    "SpillTerms",
     "Started",
     "StateLearned",
     "Stopped",
--- a/packages/hollycart/src/hollycart/observe/decisions/_requests.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/_requests.py
@@ -1,6 +1,7 @@
 """Decisions on requests: placement, attempts, responses."""
 
 from hollycart.observe.decisions import _base
+from hollycart.observe.decisions import _spill
 
 
 class Placed(_base.Decision, tag="placed"):
@@ -51,7 +52,7 @@
     conflicts: tuple[str, ...]
 
 
-class Offered(_base.Decision, tag="offered"):
+class Offered(_base.Decision, tag="offered", omit_defaults=True):
     """A prompt was offered to another cell, since the own one serves it badly.
 
     Attributes:
@@ -63,6 +64,7 @@
         own_cost: Predicted loss in the own cell; None without a placement.
         cost: Predicted loss in the other cell; None unless placed.
         wait_ms: Time until the reply or the timeout.
+        terms: Gain and cost that decided it; None for fixed thresholds.
     """
 
     request: str
@@ -73,6 +75,7 @@
     own_cost: float | None
     cost: float | None
     wait_ms: float
+    terms: _spill.SpillTerms | None = None
 
 
 class FirstEvent(_base.Decision, tag="first_event"):
