Count what other instances send as displaced prompts, not as a quota

Each instance now assumes that the others send as many prompts as itself, and the room that is left determines what a prompt displaces.

--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -118,17 +118,17 @@
     def count_slots(
         self, endpoints: Iterable[_types.Endpoint]
     ) -> tuple[int, int]:
-        """Returns the free slots of endpoints without a prefill, and all slots.
+        """Returns the free slots of endpoints, and all of their slots.
 
-        An endpoint with a prefill has no room: another prompt would wait.
+        Endpoints with a prefill count as well: most prefills end sooner than a
+        summary of the slots is renewed.
         """
         free = total = 0
         for endpoint in endpoints:
             total += endpoint.slots
             assigned = self.view.on_endpoint(endpoint.id)
-            if all(a.decoding for a in assigned):
-                used = sum(a.primary for a in assigned)
-                free += max(0, endpoint.slots - used)
+            used = sum(a.primary for a in assigned)
+            free += max(0, endpoint.slots - used)
         return free, total
 
     def expected_decode_step_ms(
--- a/packages/hollycart-core/src/hollycart_core/placement/_spill_share.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_spill_share.py
@@ -1,6 +1,5 @@
 """Share of the prompts of an instance that may leave its cell."""
 
-import math
 import random
 
 # Part of the difference in free capacity that all senders together fill within
@@ -12,48 +11,46 @@
 
 
 class SpillShare:
-    """Bounds what an instance sends to another cell in an interval.
+    """Estimates what all instances send to a cell that no view shows yet.
 
     The load it answers: many instances see the same room in another cell on
-    views that are as old as the interval. Each sends a part of the room only,
-    so that together they do not fill it before they see what they did. Parts
-    below one prompt are rounded up or down at random, and the intervals of
-    instances begin at different instants.
+    views that are as old as the interval. Each assumes that all of them send as
+    many prompts as itself, so that together they do not fill the room before
+    they see what they did. Parts below one prompt are rounded at random, and
+    the intervals of instances begin at different instants.
 
     Example:
         >>> share = SpillShare()
         >>> rng = random.Random(1)
-        >>> share.allows("b", 2.0, 0.0, rng)
-        True
-        >>> for _ in range(3):
-        ...     share.take("b")
-        >>> share.allows("b", 2.0, 10.0, rng)
-        False
+        >>> before = share.unseen("b", 10, 0.0, rng)
+        >>> share.take("b")
+        >>> round(share.unseen("b", 10, 0.0, rng) - before)
+        20
     """
 
     def __init__(self) -> None:
         self._intervals: dict[str, tuple[float, float]] = {}
         self._taken: dict[str, int] = {}
 
-    def allows(
-        self, key: str, prompts: float, now_ms: float, rng: random.Random
-    ) -> bool:
-        """Returns whether one more prompt may be sent in this interval.
+    def unseen(
+        self, key: str, senders: int, now_ms: float, rng: random.Random
+    ) -> float:
+        """Returns the slots that are assumed to be taken since the view.
 
         Args:
-            key: Where it is sent.
-            prompts: Prompts an interval that this instance may send there.
+            key: Where prompts are sent.
+            senders: Number of instances that send prompts there.
             now_ms: Current instant.
             rng: Source of randomness.
         """
-        end_ms, rounding = self._intervals.get(key, (now_ms, 0.0))
+        end_ms, offset = self._intervals.get(key, (now_ms, 0.0))
         if now_ms >= end_ms:
-            rounding = rng.random()
             first = key not in self._intervals
             length = rng.random() if first else 1.0
-            self._intervals[key] = (now_ms + length * INTERVAL_MS, rounding)
+            offset = rng.random()
+            self._intervals[key] = (now_ms + length * INTERVAL_MS, offset)
             self._taken[key] = 0
-        return self._taken[key] < math.floor(prompts + rounding)
+        return (self._taken[key] + offset) * senders / DAMPING
 
     def take(self, key: str) -> None:
         """Records that a prompt is sent."""
--- a/packages/hollycart-core/src/hollycart_core/placement/_zone_room.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_zone_room.py
@@ -18,8 +18,7 @@
     """Room of a cell for the prompts of a service.
 
     Attributes:
-        free_slots: Free slots of the endpoints that accept requests and have no
-            prefill.
+        free_slots: Free slots of the endpoints that accept requests.
         slots: All slots of the endpoints that accept requests.
         mean_loss: Mean predicted loss of recent placements there, relative to
             the weights of the prompts.
--- a/packages/hollycart-core/src/hollycart_core/placement/_zone_spill.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_zone_spill.py
@@ -31,6 +31,13 @@
 _PLACEMENT_MARGIN = 0.1
 # Weight of a prompt of usual length, for those that are displaced.
 _USUAL_WEIGHT = 2.0
+# Loss of such a prompt that is lost, and the length of a queue, relative to the
+# slots, from which a prompt in it is lost: callers leave after about a quarter
+# of the time of an answer.
+_LOST_LOSS = 3.1
+_LOST_QUEUE_SHARE = 0.25
+# Share of a refused prompt's loss that is expected in a cell without a summary.
+_UNKNOWN_LOSS_SHARE = 0.5
 
 
 class HomeState(NamedTuple):
@@ -60,8 +67,8 @@
         crossing_bytes: Bytes that are expected to cross.
         crossing_loss: Cost of these bytes.
         error: Error of the gain that is allowed for.
-        share: Prompts an interval that this instance may send there; None for
-            a prompt that the own cell would refuse.
+        slots_left: Free slots that are assumed to be left there for it; None
+            without a summary.
         age_ms: Age of the cell's summary; None without one.
     """
 
@@ -76,7 +83,7 @@
     crossing_bytes: int
     crossing_loss: float
     error: float
-    share: float | None
+    slots_left: float | None
     age_ms: float | None
 
 
@@ -86,9 +93,11 @@
     The load it answers: callers are spread unevenly over the availability
     zones, or a zone has lost its endpoints, while others have room. A prompt
     leaves if the loss that is avoided exceeds the extra round trips and the
-    price of the bytes by more than the error of predictions. How many leave
-    follows the difference in free capacity. As soon as the own cell has room,
-    the predicted loss there is low and nothing is gained elsewhere.
+    price of the bytes by more than the error of predictions. What is displaced
+    in the other cell reduces the gain. It grows as the instances together fill
+    the difference in free capacity, so that prompts of usual weight stop there
+    and only larger gains go beyond. As soon as the own cell has room, the
+    predicted loss there is low and nothing is gained elsewhere.
 
     Args:
         directory: Summaries of the other cells.
@@ -127,44 +136,32 @@
             rng: Source of randomness.
         """
         refused = own is None or own.retry_after_ms(prompt) is not None
-        own_loss = (
-            _losses.delay_loss(prompt, math.inf)
-            if own is None or refused
-            else own.predicted_loss
+        if own is None or refused:
+            own_loss = _losses.delay_loss(prompt, math.inf)
+        else:
+            own_loss = own.predicted_loss
+            if own_loss <= self.error(now_ms) * prompt.weight:
+                return None
+        question = _Question(
+            prompt,
+            service,
+            own_loss,
+            refused,
+            home,
+            crossing_bytes,
+            crossing_bytes / _BYTES_PER_GB * cost_per_gb,
+            now_ms,
         )
-        if not refused and own_loss <= self.error(now_ms) * prompt.weight:
-            return None
-        offers, weights = [], []
-        for cell in cells:
-            offer = self._weigh(
-                cell,
-                prompt,
-                service,
-                own_loss,
-                crossing_bytes,
-                crossing_bytes / _BYTES_PER_GB * cost_per_gb,
-                now_ms,
-                refused,
-            )
-            if offer is None:
-                continue
-            if own is None:
-                offer = offer._replace(max_loss=math.inf)
-            weight = self._free_slots(offer, home, now_ms, refused)
-            if not refused:
-                share = self._own_part(offer, home, weight, now_ms)
-                if not self._share.allows(
-                    _share_key(offer), share, now_ms, rng
-                ):
-                    continue
-                offer = offer._replace(share=share)
-            if weight > 0.0:
-                offers.append(offer)
-                weights.append(weight)
+        found = [self._weigh(cell, question, rng) for cell in cells]
+        offers = [o for o in found if o is not None]
         if not offers:
             return None
-        chosen = rng.choices(offers, weights)[0]
-        self._share.take(_share_key(chosen))
+        chosen = rng.choices(
+            offers, [max(1.0, o.slots_left or 0.0) for o in offers]
+        )[0]
+        self._share.take(_share_key(chosen.cell, service))
+        if own is None:
+            return chosen._replace(max_loss=math.inf)
         return chosen
 
     def record_placed(
@@ -184,7 +181,7 @@
         self, offer: SpillOffer, wait_ms: float, now_ms: float
     ) -> None:
         """Records that the other cell did not place the prompt."""
-        self._share.give_back(_share_key(offer))
+        self._share.give_back(_share_key(offer.cell, offer.service))
         self._record_reply(offer, offer.max_loss, wait_ms, now_ms)
 
     def record_silence(self, offer: SpillOffer, now_ms: float) -> None:
@@ -193,7 +190,7 @@
         The cell is not asked again before a summary arrives that was made
         later, except for prompts that the own cell would refuse.
         """
-        self._share.give_back(_share_key(offer))
+        self._share.give_back(_share_key(offer.cell, offer.service))
         self._silent_ms[offer.cell] = now_ms
 
     def error(self, now_ms: float) -> float:
@@ -229,97 +226,107 @@
         self._error = (max(_MIN_ERROR, error), now_ms)
 
     def _weigh(
-        self,
-        cell: str,
-        prompt: _types.Prompt,
-        service: str,
-        own_loss: float,
-        crossing_bytes: int,
-        crossing_loss: float,
-        now_ms: float,
-        refused: bool,
+        self, cell: str, question: "_Question", rng: random.Random
     ) -> SpillOffer | None:
         """Returns the offer to one cell; None if it does not pay."""
+        prompt, now_ms = question.prompt, question.now_ms
         report = self.directory.find(cell, now_ms)
-        if report is None or report.made_ms <= self._silent_ms.get(
-            cell, -math.inf
-        ):
-            if not refused:
-                return None
+        silent_ms = self._silent_ms.get(cell, -math.inf)
+        if report is not None and report.made_ms <= silent_ms:
             report = None
-        expected, displaced, recency = 0.5 * own_loss, 0.0, 1.0
         if report is not None:
-            room = report.room(service)
+            room = report.room(question.service)
             if room.free_slots <= 0:
                 return None
+            slots_left = self._slots_left(report, question, rng)
             expected = prompt.weight * room.mean_loss
-            displaced = _losses.late_loss(
-                _USUAL_WEIGHT, room.shortage_probability
-            )
+            displaced = _displaced_loss(room, slots_left)
             recency = report.recency(now_ms)
+        elif question.refused:
+            slots_left, recency = None, 1.0
+            expected, displaced = _UNKNOWN_LOSS_SHARE * question.own_loss, 0.0
+        else:
+            return None
         round_trip_loss = _losses.extra_delay_loss(
             prompt,
             expected / prompt.weight,
             _EXTRA_ROUND_TRIPS * self.round_trip_ms(cell),
         )
-        cost = round_trip_loss + crossing_loss
-        gain = recency * (own_loss - expected - displaced)
+        cost = round_trip_loss + question.crossing_loss
+        gain = recency * (question.own_loss - expected - displaced)
         error = self.error(now_ms) * prompt.weight
         if gain - cost <= error:
             return None
         return SpillOffer(
             cell,
-            service,
-            own_loss - displaced - cost - _PLACEMENT_MARGIN,
+            question.service,
+            question.own_loss - displaced - cost - _PLACEMENT_MARGIN,
             prompt.weight,
             gain,
             expected,
             displaced,
             round_trip_loss,
-            crossing_bytes,
-            crossing_loss,
+            question.crossing_bytes,
+            question.crossing_loss,
             error,
-            None,
+            slots_left,
             None if report is None else now_ms - report.made_ms,
         )
 
-    def _free_slots(
-        self, offer: SpillOffer, home: HomeState, now_ms: float, refused: bool
-    ) -> float:
-        """Returns the free slots by which a cell has more room than the own.
-
-        Without a summary, one slot is assumed to be free.
-        """
-        report = self.directory.find(offer.cell, now_ms)
-        if report is None:
-            return 1.0
-        room = report.room(offer.service)
-        own_share = 0.0 if refused else home.room.free_share
-        difference = max(0.0, room.free_share - own_share)
-        return difference * room.slots * report.recency(now_ms)
-
-    def _own_part(
+    def _slots_left(
         self,
-        offer: SpillOffer,
-        home: HomeState,
-        free_slots: float,
-        now_ms: float,
+        report: _cell_directory.CellReport,
+        question: "_Question",
+        rng: random.Random,
     ) -> float:
-        """Returns the part of a cell's free slots for this instance.
+        """Returns the free slots that are left if all instances act alike.
 
-        They are divided among the instances of the cells with less room.
+        They are used up when what the cells with less room send together
+        reaches the difference in free capacity between the cell and the own.
         """
-        senders = home.instances
-        reports = self.directory.recent(now_ms)
-        target = next(r for r in reports if r.cell == offer.cell)
-        limit = target.room(offer.service).free_share
-        senders += sum(
+        now_ms, service = question.now_ms, question.service
+        room = report.room(service)
+        senders = question.home.instances + sum(
             r.instances
-            for r in reports
-            if r.room(offer.service).free_share < limit
+            for r in self.directory.recent(now_ms)
+            if r.room(service).free_share < room.free_share
         )
-        return _spill_share.DAMPING * free_slots / max(1, senders)
+        unseen = self._share.unseen(
+            _share_key(report.cell, service), senders, now_ms, rng
+        )
+        own_share = 0.0 if question.refused else question.home.room.free_share
+        difference = room.free_share - own_share
+        if difference <= 0.0:
+            return 0.0
+        known = report.recency(now_ms) * room.free_slots
+        return known - unseen * room.free_share / difference
+
+
+class _Question(NamedTuple):
+    """What is asked of each cell."""
+
+    prompt: _types.Prompt
+    service: str
+    own_loss: float
+    refused: bool
+    home: HomeState
+    crossing_bytes: int
+    crossing_loss: float
+    now_ms: float
+
+
+def _displaced_loss(room: _zone_room.ServiceRoom, slots_left: float) -> float:
+    """Returns the loss of other prompts that a prompt displaces in a cell.
+
+    With slots left, one of them may be late. Without, one is late, and lost
+    when the queue becomes long.
+    """
+    left = room._replace(free_slots=max(0, math.floor(slots_left)))
+    late = _losses.late_loss(_USUAL_WEIGHT, left.shortage_probability)
+    queue_share = max(0.0, -slots_left) / max(1, room.slots)
+    lost_share = min(1.0, queue_share / _LOST_QUEUE_SHARE)
+    return late + (_LOST_LOSS - late) * lost_share
 
 
-def _share_key(offer: SpillOffer) -> str:
-    return f"{offer.cell}/{offer.service}"
+def _share_key(cell: str, service: str) -> str:
+    return f"{cell}/{service}"
--- a/packages/hollycart/src/hollycart/gateway/_spill.py
+++ b/packages/hollycart/src/hollycart/gateway/_spill.py
@@ -231,6 +231,6 @@
         offer.crossing_bytes,
         round(offer.crossing_loss, 4),
         round(offer.error, 3),
-        None if offer.share is None else round(offer.share, 2),
+        None if offer.slots_left is None else round(offer.slots_left, 1),
         None if offer.age_ms is None else round(offer.age_ms, 1),
     )
--- a/packages/hollycart/src/hollycart/observe/decisions/_spill.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/_spill.py
@@ -18,8 +18,8 @@
         crossing_bytes: Bytes that are expected to cross between zones.
         crossing_loss: Cost of these bytes.
         error: Error of the gain that is allowed for.
-        share: Prompts a second that this instance may send there; None for a
-            prompt that the own cell would refuse.
+        slots_left: Free slots that are assumed to be left there for it; None
+            without a summary.
         age_ms: Age of the summary; None without one.
     """
 
@@ -30,5 +30,5 @@
     crossing_bytes: int
     crossing_loss: float
     error: float
-    share: float | None
+    slots_left: float | None
     age_ms: float | None
