--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -123,6 +123,32 @@
     return 0
 
 
+def zones(
+    *,
+    seeds: int = 10,
+    schemes: str = "fixed,everywhere,two choices,dual prices,model",
+    loads: str = "even,uneven,step,wave,full",
+    prices: str = "100",
+) -> int:
+    """Compares ways to decide what leaves a zone, in a simulation.
+
+    Args:
+        seeds: Number of seeds.
+        schemes: Names of the ways, separated by commas.
+        loads: Names of the loads, separated by commas.
+        prices: Losses that a GB between zones is worth, separated by commas.
+    """
+    names = schemes.split(",")
+    runs = experiment.run_zones(
+        names,
+        loads.split(","),
+        [float(price) for price in prices.split(",")],
+        range(1, seeds + 1),
+    )
+    sys.stdout.write(experiment.format_zones(runs, names[0]) + "\n")
+    return 0
+
+
 def measure(
     *,
     quick: bool = False,
@@ -221,6 +247,7 @@
                 soak,
                 calm,
                 compare,
+                zones,
                 measure,
                 recover,
                 cell,
--- a/packages/hollycart-bench/src/hollycart_bench/experiment/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/experiment/__init__.py
@@ -6,12 +6,18 @@
 from hollycart_bench.experiment._report import Difference
 from hollycart_bench.experiment._report import compare
 from hollycart_bench.experiment._report import write_report
+from hollycart_bench.experiment._zones import ZoneRun
+from hollycart_bench.experiment._zones import format_zones
+from hollycart_bench.experiment._zones import run_zones
 
 __all__ = [
     "Cell",
     "Difference",
     "Grid",
+    "ZoneRun",
     "compare",
+    "format_zones",
     "run_grid",
+    "run_zones",
     "write_report",
 ]
