--- a/packages/hollycart/src/hollycart/gateway/tests/test_spill.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_spill.py
@@ -250,3 +250,48 @@
     )
     assert priced.crossing_loss > 2.0
     assert 0.0 < priced.helper_crossing_loss < 0.1
+
+
+@pytest.fixture
+def two_zones(system, endpoints, answers):
+    """A forwarder in zone z, with an endpoint there and one in zone y."""
+    for endpoint in endpoints:
+        endpoint.handler = answers.complete
+    system.forwarder.policy = IN_FORCE[0]
+    system.peers.set_cells((frozenset("z"), frozenset("y")))
+    near, far = system.listed_endpoints
+    system.apply_state(listed_endpoints=[near, far._replace(zone="y")])
+    return system
+
+
+def test_calls_leave_the_zone_only_without_an_endpoint_there(
+    two_zones, endpoints
+):
+    for _ in range(6):
+        assert two_zones.call("/again/").status == 200
+    counters = two_zones.forwarder.metrics.counters
+    assert [len(e.requests) for e in endpoints] == [6, 0]
+    assert "crossed_calls.y" not in counters
+    two_zones.forwarder.restrictions.record_leaving("e0", 0)
+    for _ in range(3):
+        assert two_zones.call("/again/").status == 200
+    assert [len(e.requests) for e in endpoints] == [6, 3]
+    assert counters["crossed_calls.y"] == 3
+    assert counters["crossed_bytes.y"] > 3 * len(b"body 0done")
+
+
+def test_failing_endpoint_of_the_zone_is_left(two_zones, endpoints, answers):
+    endpoints[0].handler = answers.fail
+    for _ in range(4):
+        assert two_zones.call("/again/").status == 200
+    assert len(endpoints[1].requests) == 4
+
+
+def test_nothing_is_counted_without_a_policy(two_zones, endpoints):
+    two_zones.forwarder.policy = gateway.PolicySettings()
+    two_zones.forwarder.restrictions.record_leaving("e0", 0)
+    assert two_zones.call("/again/").status == 200
+    assert not any(
+        name.startswith(("crossed", "spill"))
+        for name in two_zones.forwarder.metrics.counters
+    )
