--- a/packages/hollycart-core/src/hollycart_core/placement/_zone_spill.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_zone_spill.py
@@ -140,8 +140,8 @@
             own_loss = _losses.delay_loss(prompt, math.inf)
         else:
             own_loss = own.predicted_loss
-            if own_loss <= self.error(now_ms) * prompt.weight:
-                return None
+        if self.is_served_well(prompt, own, now_ms):
+            return None
         question = _Question(
             prompt,
             service,
@@ -164,6 +164,23 @@
             return chosen._replace(max_loss=math.inf)
         return chosen
 
+    def is_served_well(
+        self,
+        prompt: _types.Prompt,
+        own: _types.Placement | None,
+        now_ms: float,
+    ) -> bool:
+        """Returns whether nothing can be gained outside the own cell.
+
+        Args:
+            prompt: The prompt.
+            own: Best placement in the own cell; None if there is none.
+            now_ms: Current instant.
+        """
+        if own is None or own.retry_after_ms(prompt) is not None:
+            return False
+        return own.predicted_loss <= self.error(now_ms) * prompt.weight
+
     def record_placed(
         self, offer: SpillOffer, loss: float, wait_ms: float, now_ms: float
     ) -> None:
--- a/packages/hollycart/src/hollycart/gateway/_spill.py
+++ b/packages/hollycart/src/hollycart/gateway/_spill.py
@@ -85,6 +85,8 @@
             body_bytes: Bytes of the request's body.
         """
         now_ms = self.clock.now_ms()
+        if self._spill.is_served_well(prompt, own, now_ms):
+            return None
         room = self.rooms(now_ms).get(service, placement.ServiceRoom(0, 0))
         return self._spill.decide(
             prompt,
