--- a/packages/hollycart/src/hollycart/gateway/_notices.py
+++ b/packages/hollycart/src/hollycart/gateway/_notices.py
@@ -38,6 +38,9 @@
         metrics: Receives counts.
         clock: Source of time.
         cold: Receives how long the endpoints stay cold; None ignores it.
+
+    Attributes:
+        on_response: Called with an endpoint and its decoded response.
     """
 
     def __init__(
@@ -65,6 +68,9 @@
         self.metrics = metrics
         self.clock = clock
         self.cold = cold
+        self.on_response: Callable[
+            [placement.Endpoint, _codec.ResponseMeta], None
+        ] = lambda endpoint, response: None
 
     def record(
         self,
@@ -95,6 +101,7 @@
             and response.retry_after_ms is not None
         ):
             self._record_pause(endpoint, response.retry_after_ms)
+        self.on_response(endpoint, response)
         if (
             response.sealed
             and response.request_id == request_id
