Test cold endpoints in cases in which their bound is passed

Four tests fail on: an offered prompt is marked as permitted without a permit, instances that do not know of the others yet take a share each, memory is reserved at endpoints that have become cold, and a request is refused although one of 40 cold endpoints has a permit.

--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -424,6 +424,40 @@
     assert meeting.endpoint not in used
 
 
+@pytest.mark.parametrize("conflict", [False, True])
+def test_offered_prompt_is_not_permitted_without_a_permit(conflict):
+    """Its endpoint names a limit while the placement is being confirmed.
+
+    The instance that offered it would send it without a permit of its own.
+    """
+    fleet = Fleet("ab", 2)
+    entry, asked = fleet.of_zone("a")[0], fleet.of_zone("b")[0]
+    for endpoint in fleet.endpoints:
+        asked.peers.add((fleet.assignment(endpoint, 0),))
+    request = _messages.PlacementRequest(
+        entry.name, "z.1", SERVICE, 150000, 900, 3000.0, 9000.0, 1000.0, [], 9.0
+    )
+    chosen = asked.delegate._place(request, fleet.clock.now_ms())
+
+    def limit_all():
+        now_ms = fleet.clock.now_ms()
+        for endpoint in fleet.endpoints:
+            asked.permits.limits.record(
+                placement.RateStatement(endpoint.id, 0, 2.0, now_ms, now_ms)
+            )
+        if conflict:
+            other = chosen.assignments[0]._replace(attempt_id="a.1")
+            asked.peers.view.add("b-1", [other])
+
+    replies = []
+    asked.peers.send = lambda message, ip: replies.append(message)
+    asked.delegate.clock = _InterruptedClock(fleet.clock.now_ms(), limit_all)
+    asked.delegate._confirm_and_reply(request, chosen, entry.peers.ip)
+    (reply,) = [r for r in replies if isinstance(r, _messages.PlacementReply)]
+    assert reply.assignments is not None
+    assert not reply.permitted
+
+
 def test_prompts_that_meet_at_the_last_slot_are_served_at_two_endpoints():
     """Two short prompts arrive within 10 ms when one slot is left."""
     fleet = Fleet("a", 2)
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cold.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cold.py
@@ -336,6 +336,66 @@
     assert len(fleet.sends) == sent
 
 
+def test_instances_that_start_without_a_view_of_the_others_take_no_share(
+    plain_codec, cold_config
+):
+    """A restored store lists no instance; each would take most of the bound."""
+    fleet = ColdFleet(plain_codec, cold_config, 30, endpoints=1)
+    fleet.endpoints = [
+        e._replace(cold_left_ms=COLD_MS, written=(1, 2))
+        for e in fleet.endpoints
+    ]
+    fleet.addresses = {}
+    fleet.cold_until_ms["e0"] = fleet.clock.now_ms() + COLD_MS
+    for instance in list(fleet.instances):
+        fleet.stop(instance)
+    for instance in list(fleet.instances):
+        fleet.start(instance)
+    for instance in fleet.instances:
+        for _ in range(3):
+            fleet.call("/free/", instance)
+    assert fleet.most_in_a_second("e0") <= BOUND
+
+
+def test_memory_is_not_reserved_at_an_endpoint_that_has_become_cold(
+    plain_codec, cold_config, monkeypatch
+):
+    """Reservations at many endpoints are requests without permits."""
+    fleet = ColdFleet(plain_codec, cold_config, 30)
+    forwarder = fleet.instances[0].forwarder
+    called = []
+    monkeypatch.setattr(
+        forwarder.reserver,
+        "_call",
+        lambda endpoint, head, body: called.append(endpoint.id) or 200,
+    )
+    fleet.restart_endpoints(["e1"])
+    reservation = placement.Reservation(fleet.endpoints[1], 1000)
+    with pytest.raises(base.NotExecutedError):
+        forwarder.reserver.reserve("a", (reservation,))
+    assert not called
+
+
+def test_request_tries_all_cold_endpoints_before_it_is_refused(
+    plain_codec, cold_config
+):
+    """One permit is left, at the endpoint that is asked last."""
+    fleet = ColdFleet(plain_codec, cold_config, 30, endpoints=40)
+    fleet.advance(5000.0)
+    fleet.restart_endpoints([e.id for e in fleet.endpoints])
+    instance = fleet.instances[0]
+    asked = []
+
+    def acquire(attempt_id, endpoint):
+        asked.append(endpoint.id)
+        permits._available_ms[endpoint.id] = fleet.clock.now_ms() + 100.0
+        return len(asked) == len(fleet.endpoints)
+
+    permits = instance.forwarder.permits
+    permits.acquire = acquire
+    assert fleet.call("/free/", instance).status == 200
+
+
 def test_restarted_instance_is_told_which_endpoints_are_cold(
     plain_codec, cold_config
 ):
