Keep the bound on cold endpoints in three more cases

A reply to an offer states a permit only if one is held: the endpoint may have become limited or cold while the placement was confirmed. An instance takes no share until it had the time to hear the others. Memory is not reserved at an endpoint that has become cold since it was chosen.

--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -362,11 +362,17 @@
         self, service: str, now_ms: float, last_resort: bool = False
     ) -> list[placement.Endpoint]:
         allowed = (_OPEN, _LAST_RESORT) if last_resort else (_OPEN,)
+        evacuations = self.platform_state.evacuations
+        closed = {
+            zone
+            for zone in evacuations.in_force()
+            if evacuations.access(zone, now_ms) not in allowed
+        }
         return [
             e
             for e in self.platform_state.endpoints.values()
             if e.service == service
-            and self._access(e, now_ms) in allowed
+            and e.zone not in closed
             and self.restrictions.accepts(e, now_ms)
             and self.permits.wait_ms(e, now_ms) == 0.0
         ]
--- a/packages/hollycart/src/hollycart/gateway/_cold.py
+++ b/packages/hollycart/src/hollycart/gateway/_cold.py
@@ -135,7 +135,9 @@
         self, endpoint: placement.Endpoint, now_ms: float
     ) -> placement.ColdRate | None:
         """Returns how many requests an endpoint may get; None if it is warm."""
-        if not self.is_cold(endpoint, now_ms):
+        self.follow_state()
+        # Asked for each endpoint of a service for each request.
+        if not self._services or not self.is_cold(endpoint, now_ms):
             return None
         return self._rate(self._services[endpoint.service].cold_per_s)
 
@@ -195,9 +197,14 @@
         instances = max(
             self.peers.book.size() + 1, len(snapshot.peers) if snapshot else 0
         )
-        return placement.cold_rate(
+        rate = placement.cold_rate(
             cold_per_s, policy.cold_overage, policy.cold_slack, instances
         )
+        # After a start the other instances may not be known yet, so that the
+        # share would be too large.
+        if not self.peers.is_settled(self.clock.now_ms()):
+            rate = rate._replace(share=0)
+        return rate
 
     def _registered(self) -> set[str]:
         """Returns the names of the registered instances of the cell."""
--- a/packages/hollycart/src/hollycart/gateway/_delegate.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegate.py
@@ -150,7 +150,9 @@
             _messages.pack_report(self.peers.make_report(), now_ms),
         )
         if chosen is not None:
-            reply.permitted = self._is_limited(chosen)
+            reply.permitted = self.permits.holds(
+                message.attempt_id, chosen.endpoint, now_ms
+            )
             reply.assignments = _messages.pack(chosen.assignments, now_ms)
             reply.first_event_ms = chosen.first_event_ms
             reply.predicted_loss = chosen.predicted_loss
--- a/packages/hollycart/src/hollycart/gateway/_reserver.py
+++ b/packages/hollycart/src/hollycart/gateway/_reserver.py
@@ -57,17 +57,21 @@
             MemoryUnavailableError: If an endpoint does not grant its
                 reservation; the others are released.
             EndpointEvacuatedError: If the zone of an endpoint is closed.
+            HelperRejectedError: If an endpoint has become cold.
         """
         requested: list[placement.Reservation] = []
         try:
             for reservation in sorted(
                 reservations, key=lambda r: r.endpoint.id
             ):
+                endpoint, now_ms = reservation.endpoint, self.clock.now_ms()
                 _evacuation.check_zone(
-                    self.notices.platform_state.evacuations,
-                    reservation.endpoint,
-                    self.clock.now_ms(),
+                    self.notices.platform_state.evacuations, endpoint, now_ms
                 )
+                if self.notices.is_cold(endpoint, now_ms):
+                    raise _failures.HelperRejectedError(
+                        f"{endpoint.id} has become cold", endpoint.id
+                    )
                 requested.append(reservation)
                 if not self._reserve_at_endpoint(reservation_id, reservation):
                     raise _failures.MemoryUnavailableError(
