--- a/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
@@ -12,9 +12,10 @@
 
 # Endpoints that are asked for a permit in turn; each query takes a round trip.
 _MAX_PERMIT_QUERIES = 8
-# The same for cold endpoints, of which there are many at a time, as after the
-# evacuation of a zone. Each is left out until it has a permit again.
-_MAX_COLD_QUERIES = 32
+# Cold endpoints are many at a time, as after the evacuation of a zone. Each is
+# left out until it has a permit again. Queries for them end after this time, in
+# ms, since their grantors may all be silent.
+_MAX_COLD_QUERY_MS = 100.0
 
 
 class AttemptPlacer:
@@ -92,19 +93,15 @@
             )
             if preview is not None:
                 self.reported_load.refresh(preview.assignments)
-        queries, cold_queries = 0, 0
-        while (
-            queries < _MAX_PERMIT_QUERIES and cold_queries < _MAX_COLD_QUERIES
-        ):
+        started_ms, queries = self.clock.now_ms(), 0
+        while queries < _MAX_PERMIT_QUERIES:
             chosen = self.chooser.choose(
                 request, progress, attempt_id, self.clock.now_ms()
             )
-            if self.permits.notices.is_cold(
+            is_cold = self.permits.notices.is_cold(
                 chosen.endpoint, self.clock.now_ms()
-            ):
-                cold_queries += 1
-            else:
-                queries += 1
+            )
+            queries += not is_cold
             permitted = False
             try:
                 permitted = self.permits.acquire(attempt_id, chosen.endpoint)
@@ -113,9 +110,15 @@
                     self.delegator.remove(attempt_id)
             if permitted:
                 return chosen
+            if (
+                is_cold
+                and self.clock.now_ms() - started_ms > _MAX_COLD_QUERY_MS
+            ):
+                progress.excluded |= self.chooser.cold_ids(
+                    request.service.name, self.clock.now_ms()
+                )
         raise base.OverloadedError(
-            f"{queries + cold_queries} endpoints in turn have reached their "
-            "limits",
+            f"{queries} endpoints in turn have reached their limits",
             placement.MIN_RETRY_AFTER_MS,
         )
 
