Bound the memory held for callers and buffer responses to slow ones

Sending a response waited for its caller, and a response that an engine sent meanwhile stayed unread until the engine cut it off. Now MemoryBudget counts what an instance holds for requests and responses and decides whether to read on, to wait, or to shed the largest holder. A shed response is truncated visibly, with each framing; a request whose body does not fit is refused before it runs. Large bodies are sent to endpoints without copies and within a total time.

Servers without a gate keep their behaviour.

--- a/packages/hollycart-core/src/hollycart_core/connections/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/__init__.py
@@ -7,6 +7,13 @@
 """
 
 from hollycart_core.connections._client import ClientConnection
+from hollycart_core.connections._exchange import CallerGoneError
+from hollycart_core.connections._exchange import Exchange
+from hollycart_core.connections._memory_budget import MemoryAccount
+from hollycart_core.connections._memory_budget import MemoryBudget
+from hollycart_core.connections._memory_budget import MemoryVerdict
+from hollycart_core.connections._memory_gate import MemoryGate
+from hollycart_core.connections._memory_gate import ResponseShedError
 from hollycart_core.connections._messages import Framing
 from hollycart_core.connections._messages import Headers
 from hollycart_core.connections._messages import RequestHead
@@ -15,8 +22,6 @@
 from hollycart_core.connections._messages import end_to_end_headers
 from hollycart_core.connections._messages import find_header
 from hollycart_core.connections._pool import ConnectionPool
-from hollycart_core.connections._server import CallerGoneError
-from hollycart_core.connections._server import Exchange
 from hollycart_core.connections._server import HttpExchangeServer
 from hollycart_core.connections._server import ServerLimits
 
@@ -28,9 +33,14 @@
     "Framing",
     "HttpExchangeServer",
     "Headers",
+    "MemoryAccount",
+    "MemoryBudget",
+    "MemoryGate",
+    "MemoryVerdict",
     "RequestHead",
     "Response",
     "ResponseHead",
+    "ResponseShedError",
     "ServerLimits",
     "end_to_end_headers",
     "find_header",
--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -1,5 +1,6 @@
 """Client side of an HTTP/1.1 connection."""
 
+from collections.abc import Callable
 import socket as std_socket
 from typing import Any
 
@@ -20,6 +21,7 @@
 # Pieces of one body: chunks, or what arrives at once. Framing of much smaller
 # pieces would cost more than the content.
 _MAX_BODY_PIECES = 16384
+_MAX_COPIED_BYTES = 65536  # of a body that is sent together with its head
 _MAX_FOREIGN_BYTES = 1 << 20  # body of a response to another request
 _UNIT_BYTES = 4096  # bytes that are received in one unit of work
 # TCP_USER_TIMEOUT: Linux drops a connection whose sent bytes are not
@@ -115,18 +117,26 @@
         return False
 
     def send(
-        self, head: _messages.RequestHead, body: bytes, timeout_ms: float
+        self,
+        head: _messages.RequestHead,
+        body: bytes,
+        timeout_ms: float,
+        total_timeout_ms: float = float("inf"),
     ) -> None:
         """Sends a complete request.
 
         Args:
             head: Head of the request; its Content-Length is replaced.
             body: Body of the request.
-            timeout_ms: Timeout of sending, in ms.
+            timeout_ms: Longest time in which the endpoint accepts nothing, in
+                ms.
+            total_timeout_ms: Timeout of sending the whole request, in ms.
 
         Raises:
             InvalidRequestError: If the request is not valid HTTP; nothing was
                 sent.
+            SilentEndpointError: If the endpoint does not accept the request in
+                time; a part of it may have been delivered.
             EndpointFailedError: If sending fails; a part of the request may
                 have been delivered.
         """
@@ -152,15 +162,27 @@
                 )
             )
             assert data is not None
-            if body:
-                data += self._http.send(h11.Data(body)) or b""
-            data += self._http.send(h11.EndOfMessage()) or b""
+            content = (self._http.send(h11.Data(body)) or b"") if body else b""
+            end = self._http.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as exc:
             self.close()
             raise base.InvalidRequestError(str(exc)) from exc
+        end_ms = self.clock.now_ms() + total_timeout_ms
         try:
             self._sock.settimeout(max(0.001, timeout_ms / 1000.0))
-            self._sock.sendall(data)
+            if len(content) <= _MAX_COPIED_BYTES:
+                self._sock.sendall(data + content + end)
+            else:
+                self._sock.sendall(data)
+                _sockets.send_all(
+                    self._sock, content, timeout_ms, end_ms, self.clock
+                )
+                self._sock.sendall(end)
+        except TimeoutError as exc:
+            self.close()
+            raise base.SilentEndpointError(
+                f"{self.address} did not accept the request in time"
+            ) from exc
         except OSError as exc:
             self.close()
             raise base.EndpointFailedError(
@@ -265,20 +287,49 @@
             timeout_ms: Time to wait for the whole body, in ms.
             max_bytes: Largest accepted body, in bytes.
 
+        Raises:
+            SilentEndpointError: If the body is not complete in time.
+            EndpointFailedError: If the body is truncated or too large.
+        """
+        return b"".join(self.read_parts(timeout_ms, max_bytes))
+
+    def read_parts(
+        self,
+        timeout_ms: float,
+        max_bytes: int,
+        on_growth: Callable[[int], None] = lambda size: None,
+    ) -> list[bytes]:
+        """Returns the whole body in parts, of 64 KB at least but for the last.
+
+        Args:
+            timeout_ms: Time to wait for the whole body, in ms.
+            max_bytes: Largest accepted body, in bytes.
+            on_growth: Called with the bytes received so far, before more is
+                read.
+
         Raises:
             SilentEndpointError: If the body is not complete in time.
             EndpointFailedError: If the body is truncated or too large.
         """
         parts: list[bytes] = []
+        last: list[bytes] = []
+        last_bytes = 0
         size = 0
+        pieces = 0
         end_ms = self.clock.now_ms() + timeout_ms
         while True:
             data = self.read_data(end_ms - self.clock.now_ms())
             if data is None:
-                return b"".join(parts)
+                return [*parts, b"".join(last)] if last else parts
             size += len(data)
-            parts.append(data)
-            if size > max_bytes or len(parts) > _MAX_BODY_PIECES:
+            pieces += 1
+            last.append(data)
+            last_bytes += len(data)
+            if last_bytes >= _READ_BYTES:
+                parts.append(b"".join(last))
+                last, last_bytes = [], 0
+            on_growth(size)
+            if size > max_bytes or pieces > _MAX_BODY_PIECES:
                 self.close()
                 raise base.EndpointFailedError(
                     f"response of {self.address} exceeds {max_bytes} bytes or "
--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -13,6 +13,9 @@
 import h11
 
 from hollycart_core import base
+from hollycart_core.connections import _exchange
+from hollycart_core.connections import _exchange_memory
+from hollycart_core.connections import _memory_gate
 from hollycart_core.connections import _messages
 from hollycart_core.connections import _sockets
 
@@ -25,17 +28,17 @@
 _UNIT_BYTES = 4096  # bytes that are received in one unit of work
 _HTTP_1_0 = b"1.0"
 _WRITE_TIMEOUT_MS = 10000.0  # a caller that reads nothing is disconnected
+# Time in which the rest of a body is discarded after its request was refused.
+# A connection that is closed before would be reset, and the response lost.
+_DISCARD_TIMEOUT_MS = 1000.0
+# The refusal of a body asks for a retry after this time, in which the budget
+# sheds what is held for longest.
+_REFUSAL_RETRY_AFTER_MS = 500.0
 # TCP_USER_TIMEOUT: Linux drops a connection whose sent bytes are not
 # acknowledged for this long.
 _TCP_USER_TIMEOUT_MS = 20000
 
 
-class CallerGoneError(base.HollycartError):
-    """The caller disconnected before the response was complete."""
-
-    code = "caller_gone"
-
-
 class ServerLimits(NamedTuple):
     """Limits on the requests of a caller.
 
@@ -58,101 +61,20 @@
     body_timeout_ms: float = 60000.0
 
 
-class Exchange:
-    """A request and the response to it.
-
-    Attributes:
-        head: Head of the request.
-        body: Body of the request.
-        response_started: Whether sending a response has started.
-        received_ms: Instant at which the request head was complete, in ms of
-            the clock.
-    """
-
-    def __init__(
-        self,
-        connection: "_ServerConnection",
-        head: _messages.RequestHead,
-        body: bytes,
-        received_ms: float,
-    ) -> None:
-        self.head = head
-        self.body = body
-        self.received_ms = received_ms
-        self.response_started = False
-        self._connection = connection
-
-    def respond(
-        self, status: int, headers: _messages.Headers, body: bytes
-    ) -> None:
-        """Sends a complete response.
-
-        Raises:
-            CallerGoneError: If the caller disconnected or does not read.
-        """
-        self.start(status, headers, len(body))
-        if body:
-            self.write(body)
-        self.finish()
-
-    def start(
-        self, status: int, headers: _messages.Headers, length: int | None
-    ) -> None:
-        """Sends the head of a response.
-
-        Args:
-            status: HTTP status.
-            headers: Header fields; Content-Length is replaced.
-            length: Bytes of the body; None for chunked transfer coding.
-
-        Raises:
-            CallerGoneError: If the caller disconnected or does not read.
-        """
-        self.response_started = True
-        self._connection.send_head(status, headers, length)
-
-    def write(self, data: bytes) -> None:
-        """Sends a part of the response body.
-
-        Raises:
-            CallerGoneError: If the caller disconnected or does not read.
-        """
-        self._connection.send_event(h11.Data(data))
-
-    def finish(self) -> None:
-        """Ends the response.
-
-        Raises:
-            CallerGoneError: If the caller disconnected or does not read.
-        """
-        self._connection.finish_response()
-
-    def abort(self) -> None:
-        """Closes the connection, which truncates the response."""
-        self._connection.abort()
-
-    def detach(self) -> Any:
-        """Returns the socket, which the server no longer uses.
-
-        The caller of this method sends the response and closes the socket.
-
-        Raises:
-            CallerGoneError: If the caller disconnected.
-        """
-        self.response_started = True
-        return self._connection.detach()
-
-
 class _ServerConnection:
     """Connection of one caller."""
 
     def __init__(self, server: "HttpExchangeServer", sock: Any) -> None:
         self.server = server
         self.busy = False
+        self.memory: _exchange_memory.ExchangeMemory | None = None
         self._sock = sock
         self._http = self._new_parser()
         self._read_ahead_data = b""
         self._caller_gone = False
+        self._interrupted = False
+        self._head: _messages.RequestHead | None = None
+        self._received_ms = 0.0
         self._resets_on_close = False
         self._watcher: Any = None
         self._thread: Any = None
@@ -166,7 +88,7 @@
         try:
             while self._serve_one():
                 pass
-        except CallerGoneError:
+        except _exchange.CallerGoneError:
             logging.debug("caller disconnected")
         except OSError as exc:
             logging.debug("connection to the caller failed: %s", exc)
@@ -197,6 +119,7 @@
     def close(self) -> None:
         """Closes the socket; bytes sent before are still delivered."""
         self._stop_watcher()
+        self._close_memory()
         sock, self._sock = self._sock, None
         if sock is not None:
             sock.close()
@@ -211,7 +134,9 @@
         self._stop_watcher()
         sock, self._sock = self._sock, None
         if sock is None:
-            raise CallerGoneError("connection to the caller is closed")
+            raise _exchange.CallerGoneError(
+                "connection to the caller is closed"
+            )
         return sock
 
     def send_head(
@@ -225,7 +150,7 @@
         ]
         if length is not None:
             fields.append((b"Content-Length", str(length).encode()))
-        if self.server.draining:
+        if self.server.draining or self._http.their_state is h11.SEND_BODY:
             fields.append((b"Connection", b"close"))
         if length is None and self._http.their_http_version == _HTTP_1_0:
             # Only the end of the connection will declare the end of the body,
@@ -238,16 +163,44 @@
     def finish_response(self) -> None:
         """Ends the response."""
         self.send_event(h11.EndOfMessage())
+        if self.memory is None or self.memory.is_flushed:
+            self._declare_end()
+
+    def flush(self) -> None:
+        """Waits until the socket has accepted the response.
+
+        Raises:
+            CallerGoneError: If the caller disconnected or does not read.
+            ResponseShedError: If the response was given up to free memory.
+        """
+        if self.memory is None:
+            return
+        try:
+            self.memory.flush()
+        except OSError as exc:
+            raise _exchange.CallerGoneError(str(exc)) from exc
+        if self._is_response_started():
+            self.memory.raise_if_shed()
+        if self._http.our_state in (h11.DONE, h11.MUST_CLOSE):
+            self._declare_end()
+
+    def _declare_end(self) -> None:
+        """Lets the end of the connection declare the end of the body."""
         if self._resets_on_close:
             self._set_reset_on_close(False)
 
+    def _is_response_started(self) -> bool:
+        return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
     def _set_reset_on_close(self, enabled: bool) -> None:
         try:
             if self._sock is None:
-                raise CallerGoneError("connection to the caller is closed")
+                raise _exchange.CallerGoneError(
+                    "connection to the caller is closed"
+                )
             _sockets.set_reset_on_close(self._sock, enabled)
         except OSError as exc:
-            raise CallerGoneError(str(exc)) from exc
+            raise _exchange.CallerGoneError(str(exc)) from exc
         self._resets_on_close = enabled
 
     def send_event(self, event: Any) -> None:
@@ -255,17 +208,28 @@
 
         Raises:
             CallerGoneError: If the caller disconnected or does not read.
+            ResponseShedError: If the response was given up to free memory.
         """
+        if self.memory is not None and self.memory.shed_error is not None:
+            if self._is_response_started():
+                self.memory.raise_if_shed()
+            self._reopen_memory()  # for the response with the failure
+        memory = self.memory
         data = self._http.send(event)
         if not data:
             return
         try:
             if self._sock is None:
-                raise CallerGoneError("connection to the caller is closed")
+                raise _exchange.CallerGoneError(
+                    "connection to the caller is closed"
+                )
+            if memory is not None:
+                memory.write(data)
+                return
             self._sock.settimeout(_WRITE_TIMEOUT_MS / 1000.0)
             self._sock.sendall(data)
         except OSError as exc:
-            raise CallerGoneError(str(exc)) from exc
+            raise _exchange.CallerGoneError(str(exc)) from exc
 
     def _new_parser(self) -> Any:
         return h11.Connection(
@@ -273,21 +237,28 @@
         )
 
     def _serve_one(self) -> bool:
+        self._interrupted = False
         exchange = self._read_request()
         if exchange is None:
             return False
         self.busy = True
         self.server.running += 1
-        current = eventlet.getcurrent()
-        self._watcher = eventlet.spawn(self._detect_disconnect, current)
+        self._watcher = eventlet.spawn(self._detect_disconnect)
         try:
             self.server.handler(exchange)
+            self.flush()
+        except _memory_gate.ResponseShedError as exc:
+            logging.info("response given up: %s", exc.detail)
+            self.abort()
         finally:
             self._stop_watcher()
+            self._close_memory()
             self.server.running -= 1
             self.busy = False
         if self._sock is None or self._caller_gone:
             return False
+        if exchange.refusal is not None:
+            self._discard_rest()
         if (
             self._http.our_state is not h11.DONE
             or self._http.their_state is not h11.DONE
@@ -303,7 +274,48 @@
         if watcher is not None and watcher is not eventlet.getcurrent():
             watcher.kill()
 
-    def _detect_disconnect(self, handler: Any) -> None:
+    def _close_memory(self) -> None:
+        memory, self.memory = self.memory, None
+        if memory is not None:
+            memory.close()
+
+    def _open_memory(self) -> None:
+        if self.server.memory is not None:
+            self.memory = _exchange_memory.ExchangeMemory(
+                self.server.memory,
+                self._sock,
+                _WRITE_TIMEOUT_MS,
+                self._schedule_shedding,
+                self._handle_failed_send,
+            )
+
+    def _reopen_memory(self) -> None:
+        """Opens a new account after the former one was shed."""
+        self._close_memory()
+        self._open_memory()
+
+    def _schedule_shedding(self, exc: _memory_gate.ResponseShedError) -> None:
+        eventlet.spawn_n(self._interrupt_shed, exc)
+
+    def _interrupt_shed(self, exc: _memory_gate.ResponseShedError) -> None:
+        memory = self.memory
+        if memory is None or memory.is_raised:
+            return
+        if memory.shed_error is exc:
+            self._interrupt(exc)
+
+    def _handle_failed_send(self, detail: str) -> None:
+        if self.memory is not None and not self._interrupted:
+            self._caller_gone = True
+            self._interrupt(_exchange.CallerGoneError(detail))
+
+    def _interrupt(self, exc: base.HollycartError) -> None:
+        """Raises a failure in the thread that serves the request, once."""
+        if not self._interrupted:
+            self._interrupted = True
+            greenthread.kill(self._thread, exc)
+
+    def _detect_disconnect(self) -> None:
         """Reads ahead and interrupts the handler if the caller disconnects."""
         sock = self._sock
         pipelined_bytes = len(self._http.trailing_data[0])
@@ -319,19 +331,34 @@
                 data = b""
             if not data:
                 self._caller_gone = True
-                greenthread.kill(
-                    handler, CallerGoneError("caller closed the connection")
+                self._interrupt(
+                    _exchange.CallerGoneError("caller closed the connection")
                 )
                 return
             self._read_ahead_data += data
 
-    def _read_request(self) -> Exchange | None:
+    def _read_request(self) -> _exchange.Exchange | None:
+        self._head = None
+        try:
+            return self._receive_request()
+        except _memory_gate.ResponseShedError as exc:
+            if self._head is None:
+                raise
+            self._reopen_memory()
+            self._interrupted = False
+            refusal = base.OverloadedError(
+                f"the body was not received: {exc.detail}",
+                _REFUSAL_RETRY_AFTER_MS,
+            )
+            return _exchange.Exchange(
+                self, self._head, b"", self._received_ms, refusal
+            )
+
+    def _receive_request(self) -> _exchange.Exchange | None:
         limits = self.server.limits
         clock = self.server.clock
-        head: h11.Request | None = None
         parts: list[bytes] = []
         size = 0
-        received_ms = 0.0
         started_ms: float | None = None
         self._parse_read_ahead()
         while True:
@@ -342,7 +369,13 @@
                 self._reject(exc.error_status_hint, str(exc))
                 return None
             if isinstance(event, h11.Request):
-                head, received_ms = event, clock.now_ms()
+                self._head = _messages.RequestHead(
+                    bytes(event.method),
+                    bytes(event.target),
+                    tuple(event.headers.raw_items()),
+                )
+                self._received_ms = clock.now_ms()
+                self._open_memory()
                 if self._http.they_are_waiting_for_100_continue:
                     self.send_event(
                         h11.InformationalResponse(status_code=100, headers=[])
@@ -360,22 +393,19 @@
                         f"{_MAX_BODY_PIECES} pieces",
                     )
                     return None
+                if self.memory is not None:
+                    self.memory.add_body(len(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                assert head is not None
-                return Exchange(
-                    self,
-                    _messages.RequestHead(
-                        bytes(head.method),
-                        bytes(head.target),
-                        tuple(head.headers.raw_items()),
-                    ),
-                    b"".join(parts),
-                    received_ms,
+                assert self._head is not None
+                if self.memory is not None:
+                    self.memory.complete_body(size)
+                return _exchange.Exchange(
+                    self, self._head, b"".join(parts), self._received_ms
                 )
             elif event is h11.NEED_DATA:
                 if started_ms is None and self._http.trailing_data[0]:
                     started_ms = clock.now_ms()
-                body_since_ms = received_ms if head is not None else None
+                body_since_ms = self._received_ms if self._head else None
                 if not self._receive(limits, body_since_ms, started_ms):
                     return None
                 if started_ms is None:
@@ -433,6 +463,21 @@
             data, self._read_ahead_data = self._read_ahead_data, b""
             self._http.receive_data(data)
 
+    def _discard_rest(self) -> None:
+        """Reads the rest of a body that is not wanted, for a short time."""
+        clock = self.server.clock
+        end_ms = clock.now_ms() + _DISCARD_TIMEOUT_MS
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+            while clock.now_ms() < end_ms:
+                self._sock.settimeout((end_ms - clock.now_ms()) / 1000.0)
+                data = self._sock.recv(_READ_BYTES)
+                if not data:
+                    return
+                self._work.add(1 + len(data) // _UNIT_BYTES)
+        except OSError as exc:
+            logging.debug("rest of a body not discarded: %s", exc)
+
     def _reject(self, status: int, detail: str) -> None:
         logging.info("request rejected: status=%d detail=%s", status, detail)
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -450,6 +495,8 @@
             disconnect of the caller raises CallerGoneError in it.
         clock: Source of time.
         limits: Limits on requests.
+        memory: Bounds what is held for callers. Without it, sending a response
+            waits for the caller.
 
     Attributes:
         draining: Whether responses carry `Connection: close`.
@@ -460,14 +507,16 @@
     def __init__(
         self,
         address: str,
-        handler: Callable[[Exchange], None],
+        handler: Callable[[_exchange.Exchange], None],
         clock: base.Clock,
         limits: ServerLimits = ServerLimits(),  # noqa: B008
+        memory: _memory_gate.MemoryGate | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
         self.clock = clock
         self.limits = limits
+        self.memory = memory
         self.draining = False
         self.closing = False
         self.running = 0
--- a/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
@@ -1,10 +1,14 @@
 """Socket options of all TCP connections."""
 
+import socket as std_socket
 import struct
 from typing import Any
 
+from eventlet import hubs
 from eventlet.green import socket
 
+from hollycart_core import base
+
 
 def configure(sock: Any, user_timeout_ms: int) -> None:
     """Disables Nagle's algorithm and sets TCP_USER_TIMEOUT.
@@ -41,3 +45,32 @@
     sock.setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0)
     )
+
+
+def send_all(
+    sock: Any, data: bytes, timeout_ms: float, end_ms: float, clock: base.Clock
+) -> None:
+    """Sends data without copying what the socket does not accept at once.
+
+    Args:
+        sock: A TCP socket.
+        data: What is sent.
+        timeout_ms: Longest time in which the socket accepts nothing, in ms.
+        end_ms: Instant until which it has to accept everything, in ms.
+        clock: Source of time.
+
+    Raises:
+        OSError: If sending fails; TimeoutError if it takes too long.
+    """
+    view = memoryview(data)
+    while view:
+        try:
+            view = view[sock.fd.send(view) :]
+        except BlockingIOError:
+            left_ms = min(timeout_ms, end_ms - clock.now_ms())
+            hubs.trampoline(
+                sock.fd,
+                write=True,
+                timeout=max(0.001, left_ms / 1000.0),
+                timeout_exc=std_socket.timeout,
+            )
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/conftest.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from hollycart_core import base
+from hollycart_core import connections
 
 
 @pytest.fixture
@@ -72,3 +73,68 @@
     thread = eventlet.spawn(count)
     yield counted
     thread.kill()
+
+
+@pytest.fixture
+def memory(clock):
+    """Room for 1 MB, of which one account may hold 700 KB."""
+    budget = connections.MemoryBudget(1 << 20, 700 << 10, wait_ms=50.0)
+    return connections.MemoryGate(budget, clock)
+
+
+@pytest.fixture
+def connect():
+    """Opens sockets whose kernel buffers hold a few kB, as across a network."""
+    socks = []
+
+    def open_socket(address, sent):
+        host, _, port = address.rpartition(":")
+        sock = green_socket.socket()
+        socks.append(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
+        sock.connect((host, int(port)))
+        sock.sendall(sent)
+        return sock
+
+    yield open_socket
+    for sock in socks:
+        sock.close()
+
+
+@pytest.fixture
+def receive_all():
+    """Reads until the end of a connection.
+
+    Returns the bytes and whether it was reset, which eventlet's `recv` hides.
+    """
+
+    def receive(sock):
+        received = bytearray()
+        while True:
+            try:
+                data = sock.fd.recv(65536)
+            except BlockingIOError:
+                eventlet.sleep(0.002)
+                continue
+            except ConnectionResetError:
+                return bytes(received), True
+            if not data:
+                return bytes(received), False
+            received += data
+
+    return receive
+
+
+@pytest.fixture
+def eventually():
+    """Waits until a condition holds, for at most 5 s."""
+
+    def wait(condition):
+        for _ in range(1000):
+            if condition():
+                return
+            eventlet.sleep(0.005)
+        raise AssertionError("condition does not hold")
+
+    return wait
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -112,13 +112,19 @@
                 have executed the request.
             CallerGoneError: If the caller disconnected.
         """
+        request.exchange.hold(0)  # what an earlier attempt received is gone
         sent_head = self._encode_head(request, progress, chosen, attempt_id)
         progress.possible_executions += 1
         sent_ms = self.clock.now_ms()
-        conn.send(sent_head, request.exchange.body, _SEND_TIMEOUT_MS)
+        head_end_ms = sent_ms + self._head_timeout_ms(request, progress, chosen)
+        conn.send(
+            sent_head,
+            request.exchange.body,
+            _SEND_TIMEOUT_MS,
+            self._send_end_ms(request, head_end_ms) - sent_ms,
+        )
         if chosen.assignments and self._may_time_out(request, progress):
             self.dependencies.add(attempt_id, chosen.assignments)
-        head_end_ms = sent_ms + self._head_timeout_ms(request, progress, chosen)
         head, response = self._read_matching_head(
             request, chosen, conn, sent_head, sent_ms, head_end_ms
         )
@@ -140,7 +146,9 @@
         body_end_ms = request.deadline_ms
         if self.has_retries(request.service.name):
             body_end_ms = max(head_end_ms, now_ms + _MIN_BODY_TIMEOUT_MS)
-        body = conn.read_body(body_end_ms - now_ms, _MAX_BODY_BYTES)
+        parts = conn.read_parts(
+            body_end_ms - now_ms, _MAX_BODY_BYTES, request.exchange.hold
+        )
         self._confirm_end(request, chosen, head)
         if not success and self._should_retry(request, progress, head):
             raise base.EndpointFailedError(
@@ -152,10 +160,18 @@
                 "resuming the stream"
             )
         progress.status = head.status
-        request.exchange.respond(
-            head.status, connections.end_to_end_headers(head.headers), body
+        request.exchange.respond_parts(
+            head.status, connections.end_to_end_headers(head.headers), parts
         )
 
+    def _send_end_ms(
+        self, request: _job.AdmittedRequest, head_end_ms: float
+    ) -> float:
+        """Returns until when an endpoint may take the request."""
+        if self.has_retries(request.service.name):
+            return head_end_ms
+        return request.deadline_ms
+
     def _encode_head(
         self,
         request: _job.AdmittedRequest,
@@ -313,6 +329,7 @@
             if data is None:
                 break
             complete = events.feed(data)
+            request.exchange.hold(events.partial_bytes)
             relayed_bytes += len(complete)
             if events.overflowing or relayed_bytes > limit_bytes:
                 raise base.EndpointFailedError(
--- a/packages/hollycart/src/hollycart/gateway/_events.py
+++ b/packages/hollycart/src/hollycart/gateway/_events.py
@@ -51,6 +51,11 @@
         self._pieces = 1
         return complete
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes of the incomplete event."""
+        return len(self._partial)
+
     @property
     def overflowing(self) -> bool:
         """Whether the incomplete event exceeds the limits on its size."""
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -227,11 +227,16 @@
             meta = self.codec.decode_request(exchange.head)
             request_id = meta.request_id
             progress = _job.Progress(meta.last_event_id)
+            if exchange.refusal is not None:
+                raise exchange.refusal
             request = self.admission.admit(exchange, meta)
             try:
                 self._run_attempts(request, progress)
             finally:
                 self.guard.end_trial(progress)
+            # No attempt holds anything at its endpoint while the caller reads.
+            exchange.release_body()
+            exchange.flush()
             self._record_response(request, progress)
         except connections.CallerGoneError:
             total_ms = self.clock.now_ms() - exchange.received_ms
@@ -609,12 +614,34 @@
                 round(now_ms - exchange.received_ms, 1),
             )
         )
+        if isinstance(exc, connections.ResponseShedError):
+            self._log_shed(request_id, progress, exc)
         if exchange.response_started:
+            if not isinstance(exc, connections.ResponseShedError):
+                exchange.flush()  # events that arrived before the failure
             exchange.abort()
             return
         headers = self.codec.encode_failure(request_id, exc.retry_after_ms)
         exchange.respond(status, headers, b"")
 
+    def _log_shed(
+        self,
+        request_id: str,
+        progress: _job.Progress,
+        exc: connections.ResponseShedError,
+    ) -> None:
+        self.metrics.count("response_shed")
+        self.log.write(
+            observe.decisions.ResponseShed(
+                request_id,
+                progress.responded_by,
+                exc.account_bytes,
+                exc.held_bytes,
+                round(exc.held_ms, 1),
+                progress.status != 0,
+            )
+        )
+
 
 def _final_failure(
     exc: base.HollycartError, progress: _job.Progress
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -7,6 +7,7 @@
 from hollycart.gateway import _address_book
 from hollycart.gateway import _codec
 from hollycart.gateway import _forwarder
+from hollycart.gateway import _memory
 from hollycart.gateway import _peers
 from hollycart.gateway import _read_times
 from hollycart.gateway import _reader
@@ -144,8 +145,12 @@
             self.log,
             clock,
         )
+        self.memory = _memory.make_gate(cfg.policy, clock)
         self.front_server = connections.HttpExchangeServer(
-            cfg.front_address, self.forwarder.handle, clock
+            cfg.front_address,
+            self.forwarder.handle,
+            clock,
+            memory=self.memory,
         )
         self._ready_server = connections.HttpExchangeServer(
             cfg.ready_address, self._serve_readiness, clock
@@ -242,6 +247,7 @@
         )
         self.reader.schedule = _read_schedule(cfg)
         self.forwarder.policy = self.cfg.policy
+        _memory.apply_bounds(self.memory.budget, self.cfg.policy)
         budget = self.forwarder.budget
         budget.ratio = cfg.retry_ratio
         budget.window_ms = cfg.retry_window_ms
@@ -339,6 +345,8 @@
         raw = self.platform_state.raw
         values = {
             "running": float(self.front_server.running),
+            "buffered_bytes": float(self.memory.budget.held_bytes),
+            "buffered_responses": float(self.memory.buffered_responses),
             "ready": float(self.ready),
             "peers": float(len(self.peers.live())),
             "fleet_instances": float(self.peers.fleet_size()),
--- a/packages/hollycart/src/hollycart/gateway/tests/virtual.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/virtual.py
@@ -104,6 +104,7 @@
     """Request of a caller; keeps the response."""
 
     response_started = False
+    refusal = None
     ended_ms = None
 
     def __init__(
@@ -133,6 +134,12 @@
         del body
         self.status, self.headers = status, headers
 
+    def release_body(self):
+        pass
+
+    def flush(self):
+        pass
+
     @property
     def retry_after_ms(self):
         text = connections.find_header(self.headers, b"retry-after")
--- a/packages/hollycart/src/hollycart/observe/decisions/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from hollycart.observe.decisions._base import Decision
+from hollycart.observe.decisions._buffers import ResponseShed
 from hollycart.observe.decisions._crashes import EngineCrashed
 from hollycart.observe.decisions._crashes import Quarantined
 from hollycart.observe.decisions._crashes import QuarantineTrial
@@ -53,6 +54,7 @@
     Failed,
     CallerLeft,
     ForeignAnswer,
+    ResponseShed,
     StateLearned,
     EndpointUnreachable,
     EngineCrashed,
@@ -116,6 +118,7 @@
     "Quarantined",
     "Reloaded",
     "Repeated",
+    "ResponseShed",
     "Started",
     "StateLearned",
     "Stopped",
