Test slow callers and engines in front of scripted endpoints

A response that is complete in the buffer holds nothing at its engine, one that is shed is neither repeated nor stated as not run, events that arrived before a failure are delivered, and a body beyond the memory is refused before it runs.

--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -339,8 +339,14 @@
             1500.0,
             20000.0,
         )
+        self.memory = connections.MemoryGate(
+            connections.MemoryBudget(4 << 20, 3 << 20, 100.0), self.clock
+        )
         self.front_server = connections.HttpExchangeServer(
-            f"127.0.0.1:{_free_port()}", self.forwarder.handle, self.clock
+            f"127.0.0.1:{_free_port()}",
+            self.forwarder.handle,
+            self.clock,
+            memory=self.memory,
         )
         self.config = config
         self.listed_endpoints = [
