Measure an instance in front of callers that read slowly

Room in the memory budget goes to the oldest response first, and the time that a response waits for room counts once.

TCP_USER_TIMEOUT ends connections to callers whose window is closed most of the time, 20 s after the first closed window, although they read. It is off while the writer itself observes whether the caller reads.

--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -109,6 +109,26 @@
     )
 
 
+def slow_readers(
+    *,
+    callers: int = 500,
+    seconds: float = 60.0,
+    memory_mb: int = 200,
+    out: str = "out/slow_readers",
+) -> int:
+    """Measures one instance in front of many callers that read slowly.
+
+    Args:
+        callers: Callers that read an answer of 1 MB at 2 kB/s.
+        seconds: Length of the run, in seconds.
+        memory_mb: Memory that the instance is told, in MB.
+        out: Folder for settings, journals and output.
+    """
+    return soak_pkg.run_slow_readers(
+        pathlib.Path(out), callers, seconds=seconds, memory_mb=memory_mb
+    )
+
+
 def compare(*, seeds: int = 10, out: str = "out/experiment") -> int:
     """Compares placement schemes in a simulation.
 
@@ -220,6 +240,7 @@
                 prove,
                 soak,
                 calm,
+                slow_readers,
                 compare,
                 measure,
                 recover,
--- a/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/__init__.py
@@ -16,6 +16,7 @@
 from hollycart_bench.soak._record import LoopDelay
 from hollycart_bench.soak._record import SoakRecord
 from hollycart_bench.soak._runner import run_soak
+from hollycart_bench.soak._slow_readers import run_slow_readers
 
 __all__ = [
     "GUARANTEES",
@@ -27,5 +28,6 @@
     "SoakEngine",
     "SoakRecord",
     "check_guarantees",
+    "run_slow_readers",
     "run_soak",
 ]
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_caller.py
@@ -126,6 +126,39 @@
             )
         )
 
+    def send_plain(self) -> None:
+        """Sends an idempotent request without a prompt; waits for its end."""
+        team = self._choose_team()
+        instance, address = self.choose()
+        request_id = f"{self._run_id}{next(self._request_numbers):08x}"
+        caller_timeout_ms = _CALLER_TIMEOUT_MS["again"]
+        head = hollycart_standins.encode_request(
+            request_id,
+            f"/again/{request_id}",
+            self.keys[team],
+            caller_timeout_ms,
+        )
+        start_ms = self.clock.wall_ms()
+        attempt = _Attempt(self.clock, request_id, address)
+        attempt.run(head, caller_timeout_ms + _LATE_RESPONSE_WINDOW_MS)
+        self.record.calls.append(
+            _record.Call(
+                request_id,
+                "again",
+                instance,
+                team,
+                start_ms,
+                self.clock.wall_ms(),
+                caller_timeout_ms,
+                attempt.status,
+                attempt.complete,
+                attempt.body_matches,
+                False,
+                attempt.retry_after_ms,
+                attempt.first_byte_ms,
+            )
+        )
+
     def send_direct(self, address: str) -> None:
         """Sends a request without a prompt directly to an engine."""
         request_id = f"{self._run_id}{next(self._request_numbers):08x}"
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_engine.py
@@ -25,6 +25,8 @@
 _UNFRAMED_INTERVAL = 4  # one in so many streams has no length and no chunks
 _CRASH_DELAY_MS = 60.0  # from the start of the decode
 _CRASH_CODE = 139
+LARGE_PATH = "/again/large/"  # requests of an answer of `LARGE_BYTES`
+LARGE_BYTES = 1 << 20
 HELD_PATH = b"/control/held"
 FAULTS_PATH = b"/control/faults"
 
@@ -178,7 +180,10 @@
                 if self._has_crash_body(exchange):
                     self._crash("repeated_crash", req)
                 fields = self._encode_success(req, False)
-                exchange.respond(200, fields, response_body(req.request_id))
+                body = response_body(req.request_id)
+                if exchange.head.target.startswith(LARGE_PATH.encode()):
+                    body *= LARGE_BYTES // len(body)
+                exchange.respond(200, fields, body)
         except connections.CallerGoneError:
             self._write_journal("gone", req)
             raise
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -42,6 +42,8 @@
         folder: Folder for settings, journals and output.
         instances: Number of entry instances.
         engines: Number of model engines.
+        memory_bytes: Memory that the instances are told to have, in bytes; 0
+            for none.
 
     Attributes:
         version: Version of the next configuration to be written.
@@ -57,9 +59,14 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, instances: int, engines: int
+        self,
+        folder: pathlib.Path,
+        instances: int,
+        engines: int,
+        memory_bytes: int = 0,
     ) -> None:
         self.folder = folder
+        self.memory_bytes = memory_bytes
         self.version = 1
         self.keys = {f"team-{n}": f"key-{n}" for n in range(4)}
         self.plain_service = _configuration.PLAIN_SERVICES[0]
@@ -411,6 +418,7 @@
             retry_slack=100.0,
             stall_ms=1500.0,
             hold_max_ms=20000.0,
+            policy=gateway.PolicySettings(memory_bytes=self.memory_bytes),
         )
         path = self.folder / f"{name}.toml"
         path.write_text(hollycart_standins.encode_settings(cfg))
--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -305,7 +305,7 @@
             timeout_ms: Time to wait for the whole body, in ms.
             max_bytes: Largest accepted body, in bytes.
             on_growth: Called with the bytes received so far, before more is
-                read.
+                read. The time that it takes does not count.
 
         Raises:
             SilentEndpointError: If the body is not complete in time.
@@ -328,7 +328,9 @@
             if last_bytes >= _READ_BYTES:
                 parts.append(b"".join(last))
                 last, last_bytes = [], 0
+            grown_ms = self.clock.now_ms()
             on_growth(size)
+            end_ms += self.clock.now_ms() - grown_ms
             if size > max_bytes or pieces > _MAX_BODY_PIECES:
                 self.close()
                 raise base.EndpointFailedError(
--- a/packages/hollycart-core/src/hollycart_core/connections/_memory_budget.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_memory_budget.py
@@ -1,6 +1,7 @@
 """Bounds the memory that is held for requests and responses."""
 
 from collections.abc import Callable
+import itertools
 from typing import NamedTuple
 
 # An account of at most this size may also use the reserve. It holds most
@@ -12,6 +13,9 @@
 class MemoryAccount:
     """Bytes held for one request and its response.
 
+    Args:
+        number: Position in the order in which accounts were opened.
+
     Attributes:
         held_bytes: Bytes held now.
         shed: Called if the account is shed; None while it must not be.
@@ -21,6 +25,8 @@
             received; None if the account holds nothing that can be shed.
         waiting_since_ms: Instant since which it waits for room; None if it
             does not wait.
+        waited_ms: Time for which it waited before, since it held nothing, in
+            ms.
         is_open: Whether the account still counts.
     """
 
@@ -28,17 +34,21 @@
         "held_bytes",
         "is_buffered",
         "is_open",
+        "number",
         "shed",
         "since_ms",
+        "waited_ms",
         "waiting_since_ms",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, number: int) -> None:
+        self.number = number
         self.held_bytes = 0
         self.is_buffered = False
         self.shed: Callable[[], None] | None = None
         self.since_ms: float | None = None
         self.waiting_since_ms: float | None = None
+        self.waited_ms = 0.0
         self.is_open = True
 
 
@@ -58,16 +68,18 @@
     """Decides whether to read on, to wait, or to shed an account.
 
     What has arrived is counted in any case; the decision is whether more is
-    read. The load that it responds to is the sum of what is held for callers
-    that read slowly, engines that read or send slowly, and requests in flight.
+    read. Room goes to the account that was opened first: if all that wait got
+    a part of it, many would hold a part and none could complete. The load that
+    it responds to is the sum of what is held for callers that read slowly,
+    engines that read or send slowly, and requests in flight.
 
     Args:
         total_bytes: Bound on the bytes of all accounts.
         account_bytes: Bound on the bytes of one account.
-        wait_ms: Time to wait for room before an account is shed, in ms. It has
-            to be shorter than the time after which an engine cuts off a
-            response that is not read, and long enough for callers that read
-            promptly to take what was read for them.
+        wait_ms: Time for which an account waits for room, in all, before one
+            is shed, in ms. It has to be shorter than the time after which an
+            engine cuts off a response that is not read, and long enough for
+            callers that read promptly to take what was read for them.
 
     Attributes:
         held_bytes: Bytes of all accounts.
@@ -94,10 +106,12 @@
         self.wait_ms = wait_ms
         self.held_bytes = 0
         self._accounts: set[MemoryAccount] = set()
+        self._waiting: set[MemoryAccount] = set()
+        self._numbers = itertools.count()
 
     def open(self) -> MemoryAccount:
         """Returns a new account, which holds nothing."""
-        return MemoryAccount()
+        return MemoryAccount(next(self._numbers))
 
     def add(self, account: MemoryAccount, size: int, now_ms: float) -> None:
         """Counts bytes that are held now; negative if fewer are.
@@ -118,6 +132,7 @@
         else:
             self._accounts.discard(account)
             account.since_ms = None
+            account.waited_ms = 0.0
 
     def set_buffered(
         self, account: MemoryAccount, is_buffered: bool, now_ms: float
@@ -131,7 +146,7 @@
         """Excludes an account from being shed until `shed` is set again."""
         account.shed = None
         account.since_ms = None
-        account.waiting_since_ms = None
+        self._stop_waiting(account)
 
     def close(self, account: MemoryAccount) -> None:
         """Ends an account; it holds nothing from now on."""
@@ -140,6 +155,18 @@
             account.is_open = False
             account.held_bytes = 0
             self._accounts.discard(account)
+            self._stop_waiting(account)
+
+    def find_ready(self) -> list[MemoryAccount]:
+        """Returns the accounts that wait and should ask again now.
+
+        There is room for them, or they are the first in turn.
+        """
+        first = self._find_first()
+        ready = [a for a in self._waiting if self._has_room(a, first)]
+        if first is not None and first not in ready:
+            ready.append(first)
+        return ready
 
     def decide(self, account: MemoryAccount, now_ms: float) -> MemoryVerdict:
         """Returns whether more may be read for an account.
@@ -152,25 +179,48 @@
             The verdict. The victim is the account itself if it alone exceeds
             its bound, or if no other one can be shed.
         """
-        is_over = account.held_bytes > self.account_bytes
-        if not is_over and self.held_bytes <= self._limit_of(account):
+        first = self._find_first()
+        if not account.is_open or self._has_room(account, first):
             if account.since_ms is not None:
                 account.since_ms = now_ms - _slow_ms(account, now_ms)
-            account.waiting_since_ms = None
+            if account.waiting_since_ms is not None:
+                account.waited_ms += now_ms - account.waiting_since_ms
+            self._stop_waiting(account)
             return MemoryVerdict()
         if account.waiting_since_ms is None:
             account.waiting_since_ms = now_ms
-        waited_ms = now_ms - account.waiting_since_ms
+            self._waiting.add(account)
+        waited_ms = account.waited_ms + now_ms - account.waiting_since_ms
         if waited_ms < self.wait_ms:
             return MemoryVerdict(wait_ms=self.wait_ms - waited_ms)
-        if is_over:
+        if account.held_bytes > self.account_bytes:
             return MemoryVerdict(victim=account)
+        if self._find_first() is not account:
+            return MemoryVerdict(wait_ms=self.wait_ms)
         return MemoryVerdict(victim=self._find_victim(account, now_ms))
 
-    def _limit_of(self, account: MemoryAccount) -> float:
+    def _has_room(
+        self, account: MemoryAccount, first: MemoryAccount | None
+    ) -> bool:
+        if account.held_bytes > self.account_bytes:
+            return False
         if account.held_bytes <= _SMALL_BYTES:
-            return self.total_bytes
-        return self.total_bytes * (1.0 - _RESERVE_SHARE)
+            return self.held_bytes <= self.total_bytes
+        limit = self.total_bytes * (1.0 - _RESERVE_SHARE)
+        in_turn = first is None or account.number <= first.number
+        return in_turn and self.held_bytes <= limit
+
+    def _find_first(self) -> MemoryAccount | None:
+        """Returns the account that waits and was opened first."""
+        return min(
+            (a for a in self._waiting if a.held_bytes <= self.account_bytes),
+            key=lambda a: a.number,
+            default=None,
+        )
+
+    def _stop_waiting(self, account: MemoryAccount) -> None:
+        account.waiting_since_ms = None
+        self._waiting.discard(account)
 
     def _find_victim(
         self, account: MemoryAccount, now_ms: float
--- a/packages/hollycart-core/src/hollycart_core/connections/_memory_gate.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_memory_gate.py
@@ -54,7 +54,7 @@
         self.budget = budget
         self.clock = clock
         self.buffered_responses = 0
-        self._freed: event.Event | None = None
+        self._waiting: dict[_memory_budget.MemoryAccount, event.Event] = {}
 
     def add(self, account: _memory_budget.MemoryAccount, size: int) -> None:
         """Counts bytes that are held from now on; negative if freed."""
@@ -91,8 +91,9 @@
                 verdict.victim.shed()
                 self.close(verdict.victim)
             elif verdict.wait_ms:
-                self._wait_for_room(verdict.wait_ms)
+                self._wait_for_room(account, verdict.wait_ms)
             else:
+                self._wake()  # there may be room for the next one, too
                 return
 
     def make_error(
@@ -110,13 +111,20 @@
             held_ms,
         )
 
-    def _wait_for_room(self, timeout_ms: float) -> None:
-        if self._freed is None:
-            self._freed = event.Event()
-        with eventlet.Timeout(timeout_ms / 1000.0, False):
-            self._freed.wait()
+    def _wait_for_room(
+        self, account: _memory_budget.MemoryAccount, timeout_ms: float
+    ) -> None:
+        freed = self._waiting[account] = event.Event()
+        try:
+            with eventlet.Timeout(timeout_ms / 1000.0, False):
+                freed.wait()
+        finally:
+            self._waiting.pop(account, None)
 
     def _wake(self) -> None:
-        freed, self._freed = self._freed, None
-        if freed is not None:
-            freed.send()
+        if not self._waiting:
+            return
+        for account in self.budget.find_ready():
+            freed = self._waiting.pop(account, None)
+            if freed is not None:
+                freed.send()
--- a/packages/hollycart-core/src/hollycart_core/connections/_response_writer.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_response_writer.py
@@ -15,7 +15,11 @@
 from hollycart_core import base
 from hollycart_core.connections import _memory_budget
 from hollycart_core.connections import _memory_gate
+from hollycart_core.connections import _sockets
 
+# TCP_USER_TIMEOUT after a buffered response was handed to the kernel, which
+# holds some 100 kB of it. A caller that reads 2 kB/s takes these in 50 s.
+_DELIVERY_TIMEOUT_MS = 120000
 _UNIT_BYTES = 4096  # bytes that are sent in one unit of work
 
 
@@ -111,8 +115,11 @@
 
     def _run(self) -> None:
         try:
+            # The writer itself finds out whether the caller reads.
+            _sockets.set_user_timeout(self.sock, 0)
             while self._pieces:
                 self._send_first()
+            _sockets.set_user_timeout(self.sock, _DELIVERY_TIMEOUT_MS)
         except OSError as exc:
             self._failure = str(exc) or type(exc).__name__
         if self._discarded:
--- a/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
@@ -25,6 +25,22 @@
         OSError: If the connection is already closed.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_user_timeout(sock, user_timeout_ms)
+
+
+def set_user_timeout(sock: Any, user_timeout_ms: int) -> None:
+    """Sets TCP_USER_TIMEOUT.
+
+    Linux also applies it to a peer that acknowledges everything, but reads so
+    slowly that its window is closed most of the time.
+
+    Args:
+        sock: A TCP socket.
+        user_timeout_ms: The timeout, in ms; 0 for that of the system.
+
+    Raises:
+        OSError: If the connection is already closed.
+    """
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
     )
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -147,7 +147,9 @@
         if self.has_retries(request.service.name):
             body_end_ms = max(head_end_ms, now_ms + _MIN_BODY_TIMEOUT_MS)
         parts = conn.read_parts(
-            body_end_ms - now_ms, _MAX_BODY_BYTES, request.exchange.hold
+            body_end_ms - now_ms,
+            _MAX_BODY_BYTES,
+            lambda size: self._hold(request, size),
         )
         self._confirm_end(request, chosen, head)
         if not success and self._should_retry(request, progress, head):
@@ -164,6 +166,20 @@
             head.status, connections.end_to_end_headers(head.headers), parts
         )
 
+    def _hold(self, request: _job.AdmittedRequest, size: int) -> None:
+        """Counts what was received of a body; waits until there is room.
+
+        Raises:
+            DeadlineExceededError: If there was none before the deadline; the
+                endpoint is not to blame.
+            ResponseShedError: If the response was given up to free memory.
+        """
+        request.exchange.hold(size)
+        if self.clock.now_ms() > request.deadline_ms:
+            raise base.DeadlineExceededError(
+                f"{size} bytes of the response received before the deadline"
+            )
+
     def _send_end_ms(
         self, request: _job.AdmittedRequest, head_end_ms: float
     ) -> float:
