--- a/packages/hollycart/src/hollycart/observe/decisions/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from hollycart.observe.decisions._base import Decision
+from hollycart.observe.decisions._buffers import ResponseShed
 from hollycart.observe.decisions._cold import EndpointCold
 from hollycart.observe.decisions._crashes import EngineCrashed
 from hollycart.observe.decisions._crashes import Quarantined
@@ -61,6 +62,7 @@
     Failed,
     CallerLeft,
     ForeignAnswer,
+    ResponseShed,
     StateLearned,
     EndpointUnreachable,
     EngineCrashed,
@@ -136,6 +138,7 @@
     "Reloaded",
     "Repeated",
     "SpillTerms",
+    "ResponseShed",
     "Started",
     "StateLearned",
     "Stopped",
