--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -109,6 +109,26 @@
     )
 
 
+def slow_readers(
+    *,
+    callers: int = 500,
+    seconds: float = 60.0,
+    memory_mb: int = 200,
+    out: str = "out/slow_readers",
+) -> int:
+    """Measures one instance in front of many callers that read slowly.
+
+    Args:
+        callers: Callers that read an answer of 1 MB at 2 kB/s.
+        seconds: Length of the run, in seconds.
+        memory_mb: Memory that the instance is told, in MB.
+        out: Folder for settings, journals and output.
+    """
+    return soak_pkg.run_slow_readers(
+        pathlib.Path(out), callers, seconds=seconds, memory_mb=memory_mb
+    )
+
+
 def compare(*, seeds: int = 10, out: str = "out/experiment") -> int:
     """Compares placement schemes in a simulation.
 
@@ -123,6 +143,32 @@
     return 0
 
 
+def zones(
+    *,
+    seeds: int = 10,
+    schemes: str = "fixed,everywhere,two choices,dual prices,model",
+    loads: str = "even,uneven,step,wave,full",
+    prices: str = "100",
+) -> int:
+    """Compares ways to decide what leaves a zone, in a simulation.
+
+    Args:
+        seeds: Number of seeds.
+        schemes: Names of the ways, separated by commas.
+        loads: Names of the loads, separated by commas.
+        prices: Losses that a GB between zones is worth, separated by commas.
+    """
+    names = schemes.split(",")
+    runs = experiment.run_zones(
+        names,
+        loads.split(","),
+        [float(price) for price in prices.split(",")],
+        range(1, seeds + 1),
+    )
+    sys.stdout.write(experiment.format_zones(runs, names[0]) + "\n")
+    return 0
+
+
 def measure(
     *,
     quick: bool = False,
@@ -220,7 +266,9 @@
                 prove,
                 soak,
                 calm,
+                slow_readers,
                 compare,
+                zones,
                 measure,
                 recover,
                 cell,
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -25,6 +25,7 @@
 _READY_TIMEOUT_S = 15.0
 _EXIT_TIMEOUT_S = 5.0
 _CALL_TIMEOUT_MS = 2000.0
+_MEMORY_BYTES = 200 << 20  # the smallest that deployments give an instance
 _LOOP_DELAYED = '"event":"loop_delayed"'
 
 
@@ -42,6 +43,8 @@
         folder: Folder for settings, journals and output.
         instances: Number of entry instances.
         engines: Number of model engines.
+        memory_bytes: Memory that the instances are told to have, in bytes; 0
+            for no bound.
 
     Attributes:
         version: Version of the next configuration to be written.
@@ -59,9 +62,14 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, instances: int, engines: int
+        self,
+        folder: pathlib.Path,
+        instances: int,
+        engines: int,
+        memory_bytes: int = _MEMORY_BYTES,
     ) -> None:
         self.folder = folder
+        self.memory_bytes = memory_bytes
         self.version = 1
         self.keys = {f"team-{n}": f"key-{n}" for n in range(4)}
         self.plain_service = _configuration.PLAIN_SERVICES[0]
@@ -430,6 +438,9 @@
                 evacuate_ms=_record.EVACUATE_BOUND_MS,
                 cold_overage=_configuration.COLD_OVERAGE,
                 cold_slack=_configuration.COLD_SLACK,
+                memory_bytes=self.memory_bytes,
+                fair_shares=True,
+                queries_load=True,
             ),
         )
         path = self.folder / f"{name}.toml"
--- a/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
@@ -1,10 +1,14 @@
 """Socket options of all TCP connections."""
 
+import socket as std_socket
 import struct
 from typing import Any
 
+from eventlet import hubs
 from eventlet.green import socket
 
+from hollycart_core import base
+
 
 def configure(sock: Any, user_timeout_ms: int) -> None:
     """Disables Nagle's algorithm and sets TCP_USER_TIMEOUT.
@@ -21,6 +25,22 @@
         OSError: If the connection is already closed.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_user_timeout(sock, user_timeout_ms)
+
+
+def set_user_timeout(sock: Any, user_timeout_ms: int) -> None:
+    """Sets TCP_USER_TIMEOUT.
+
+    Linux also applies it to a peer that acknowledges everything, but reads so
+    slowly that its window is closed most of the time.
+
+    Args:
+        sock: A TCP socket.
+        user_timeout_ms: The timeout, in ms; 0 for that of the system.
+
+    Raises:
+        OSError: If the connection is already closed.
+    """
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
     )
@@ -41,3 +61,32 @@
     sock.setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0)
     )
+
+
+def send_all(
+    sock: Any, data: bytes, timeout_ms: float, end_ms: float, clock: base.Clock
+) -> None:
+    """Sends data without copying what the socket does not accept at once.
+
+    Args:
+        sock: A TCP socket.
+        data: What is sent.
+        timeout_ms: Longest time in which the socket accepts nothing, in ms.
+        end_ms: Instant until which it has to accept everything, in ms.
+        clock: Source of time.
+
+    Raises:
+        OSError: If sending fails; TimeoutError if it takes too long.
+    """
+    view = memoryview(data)
+    while view:
+        try:
+            view = view[sock.fd.send(view) :]
+        except BlockingIOError:
+            left_ms = min(timeout_ms, end_ms - clock.now_ms())
+            hubs.trampoline(
+                sock.fd,
+                write=True,
+                timeout=max(0.001, left_ms / 1000.0),
+                timeout_exc=std_socket.timeout,
+            )
--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -34,11 +34,13 @@
 from hollycart_core.placement._rate_limits import RateStatement
 from hollycart_core.placement._rate_permits import PermitDecision
 from hollycart_core.placement._rate_permits import RatePermits
+from hollycart_core.placement._response_sizes import ResponseSizes
 from hollycart_core.placement._restrictions import EndpointRestrictions
 from hollycart_core.placement._retry_budget import SharedRetryBudget
 from hollycart_core.placement._team_shares import ReturnTimes
 from hollycart_core.placement._team_shares import TeamUsage
 from hollycart_core.placement._team_shares import measure_usage
+from hollycart_core.placement._types import CROSSING_LOSS
 from hollycart_core.placement._types import MIN_RETRY_AFTER_MS
 from hollycart_core.placement._types import Assignment
 from hollycart_core.placement._types import Endpoint
@@ -46,9 +48,19 @@
 from hollycart_core.placement._types import Prompt
 from hollycart_core.placement._types import Reservation
 from hollycart_core.placement._unaccounted import UnaccountedLoad
+from hollycart_core.placement._zone_room import RecentLosses
+from hollycart_core.placement._zone_room import ServiceRoom
+from hollycart_core.placement._zone_rotation import ZoneRotation
+from hollycart_core.placement._zone_spill import HomeState
+from hollycart_core.placement._zone_spill import SpillOffer
+from hollycart_core.placement._zone_spill import ZoneSpill
 
 __all__ = [
     "ANNOUNCEMENT_LAG_MS",
+    "CROSSING_LOSS",
+    "MIN_RETRY_AFTER_MS",
+    "MISSING_MS",
+    "Assignment",
     "Cell",
     "CellContact",
     "CellDirectory",
@@ -61,27 +73,31 @@
     "EndpointRestrictions",
     "EngineModel",
     "HeardInstance",
+    "HomeState",
     "Isolation",
     "LoadQueries",
     "LoadView",
     "LocalShares",
-    "MISSING_MS",
-    "MIN_RETRY_AFTER_MS",
     "PermitDecision",
     "Placement",
     "Placer",
     "Prompt",
     "RatePermits",
     "RateStatement",
+    "RecentLosses",
     "Reservation",
+    "ResponseSizes",
     "ReturnTimes",
+    "ServiceRoom",
     "SharedRetryBudget",
+    "SpillOffer",
     "TeamUsage",
     "UnaccountedLoad",
     "ZoneAccess",
     "ZoneEvacuation",
     "ZoneEvacuations",
-    "Assignment",
+    "ZoneRotation",
+    "ZoneSpill",
     "assumed_load",
     "attempts_at",
     "cell_name",
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -29,6 +29,7 @@
 from hollycart.gateway import _reserver
 from hollycart.gateway import _settings
 from hollycart.gateway import _share_guard
+from hollycart.gateway import _spill
 from hollycart.gateway import _state
 from hollycart.gateway import _stream_watch
 from hollycart.gateway import _survey
@@ -152,6 +153,9 @@
         self.permits = _permits.PermitExchange(
             peers, self.notices, log, metrics, clock, rng
         )
+        self.spill = _spill.ZoneSpillControl(
+            peers, lambda: self.policy, metrics, clock, rng
+        )
         self.delegator = _delegator.Delegator(
             peers,
             platform_state,
@@ -160,6 +164,7 @@
             log,
             clock,
             rng,
+            self.spill,
         )
         self.share_guard = _share_guard.ShareGuard(
             peers, platform_state, metrics, clock, self.policy
@@ -174,8 +179,11 @@
             self.delegator,
             zone,
             self.share_guard,
+            self.spill,
         )
         peers.count_open_endpoints = self.chooser.count_open_endpoints
+        peers.rooms = self.spill.rooms = self.chooser.rooms
+        self.notices.on_response = self._record_load
         self._delegate = _delegate.Delegate(
             peers, self.chooser, self.permits, platform_state, clock
         )
@@ -270,11 +278,16 @@
             meta = self.codec.decode_request(exchange.head)
             request_id = meta.request_id
             progress = _job.Progress(meta.last_event_id)
+            if exchange.refusal is not None:
+                raise exchange.refusal
             request = self.admission.admit(exchange, meta)
             try:
                 self._run_attempts(request, progress)
             finally:
                 self.guard.end_trial(progress)
+            # No attempt holds anything at its endpoint while the caller reads.
+            exchange.release_body()
+            exchange.flush()
             self._record_response(request, progress)
         except connections.CallerGoneError:
             total_ms = self.clock.now_ms() - exchange.received_ms
@@ -468,6 +481,8 @@
         self.chooser.in_flight[endpoint.id] += 1
         conn: connections.ClientConnection | None = None
         failure: base.HollycartError | None = None
+        complete = False
+        sent, received_bytes = progress.attempts_sent, progress.received_bytes
         try:
             if chosen.send_delay_ms:
                 self.clock.sleep_ms(chosen.send_delay_ms)
@@ -486,6 +501,7 @@
             self._attempt_relay.run(
                 request, progress, chosen, conn, attempt_id, recorder
             )
+            complete = True
             self.crash_watch.complete(attempt_id)
             self.health.record_success(endpoint.id)
         except base.HollycartError as exc:
@@ -496,6 +512,13 @@
             self.crash_watch.end(attempt_id, failure)
             self.permits.release(attempt_id, endpoint)
             self.dependencies.remove(attempt_id)
+            if progress.attempts_sent > sent:
+                self.spill.record_response(
+                    request,
+                    chosen,
+                    progress.received_bytes - received_bytes,
+                    complete,
+                )
             if conn is not None:
                 self.pool.release_connection(conn)
             self.chooser.in_flight[endpoint.id] -= 1
@@ -504,6 +527,13 @@
             if chosen.assignments:
                 self.delegator.remove(attempt_id)
 
+    def _record_load(
+        self, endpoint: placement.Endpoint, response: _codec.ResponseMeta
+    ) -> None:
+        self.spill.record_load(
+            endpoint, response, self.chooser.in_flight[endpoint.id]
+        )
+
     def _has_retries(self, service: str) -> bool:
         """Returns whether the retry budget of a service has room."""
         left = self.budget.left(
@@ -658,12 +688,34 @@
                 round(now_ms - exchange.received_ms, 1),
             )
         )
+        if isinstance(exc, connections.ResponseShedError):
+            self._log_shed(request_id, progress, exc)
         if exchange.response_started:
+            if not isinstance(exc, connections.ResponseShedError):
+                exchange.flush()  # events that arrived before the failure
             exchange.abort()
             return
         headers = self.codec.encode_failure(request_id, exc.retry_after_ms)
         exchange.respond(status, headers, b"")
 
+    def _log_shed(
+        self,
+        request_id: str,
+        progress: _job.Progress,
+        exc: connections.ResponseShedError,
+    ) -> None:
+        self.metrics.count("response_shed")
+        self.log.write(
+            observe.decisions.ResponseShed(
+                request_id,
+                progress.responded_by,
+                exc.account_bytes,
+                exc.held_bytes,
+                round(exc.held_ms, 1),
+                progress.status != 0,
+            )
+        )
+
 
 def _final_failure(
     exc: base.HollycartError, progress: _job.Progress
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cold.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cold.py
@@ -140,13 +140,12 @@
     fleet = ColdFleet(
         plain_codec, cold_config, instances, zones_of(instances), 2
     )
-    fleet.run(2.0, 60.0)
+    fleet.run(7.0, 30.0)
     fleet.restart_endpoints(["e0", "e1"])
     exchanges = fleet.run(3.0, 150.0)
     for endpoint_id in ("e0", "e1"):
         assert fleet.most_in_a_second(endpoint_id) <= BOUND
-        # A new grantor grants half of the rate, from an empty bucket.
-        assert len(fleet.cold_sends(endpoint_id)) >= 8
+        assert len(fleet.cold_sends(endpoint_id)) >= 0.8 * 0.6 * 3 * COLD_PER_S
     refused = [e for e in exchanges if e.status != 200]
     assert {e.status for e in refused} == {503}
     assert all(e.retry_after_ms for e in refused)
@@ -317,10 +316,34 @@
         for instance in (first, second):
             reply = instance.forwarder.permits.grantor.decide(query)
             granted[instance.name] += reply.granted
-    assert granted[first.name] >= 8.4 * 7.0
+    assert granted[first.name] >= 8.4 * 9.5
     assert granted[second.name] <= 4.2 * 10.0 + 1.0
 
 
+def test_grantor_grants_half_until_all_agree_on_it(plain_codec, cold_config):
+    """The former one has stopped, or a new one has just started."""
+    fleet = ColdFleet(plain_codec, cold_config, 23, endpoints=1)
+    fleet.run(7.0, 30.0)
+    first = fleet.grantor("e0")
+    first.peers.drain()
+    second = fleet.grantor("e0")
+    assert second is not first
+    limit = _messages.EndpointLimit("e0", 0, None, 1e9, 1e9)
+    query = _messages.PermitQuery("i", 1, "a", limit, cold_per_s=8.4)
+
+    def granted_in_three_seconds():
+        count = 0
+        for _ in range(300):
+            fleet.advance(10.0)
+            grantor = second.forwarder.permits.grantor
+            count += grantor.decide(query).granted
+        return count
+
+    assert granted_in_three_seconds() <= 4.2 * 3.0
+    fleet.advance(1500.0)
+    assert granted_in_three_seconds() >= 8.4 * 3.0 - 1.0
+
+
 def test_permit_of_an_instance_that_was_paused_is_not_used(
     plain_codec, cold_config
 ):
@@ -336,6 +359,70 @@
     assert len(fleet.sends) == sent
 
 
+def test_instances_that_start_without_a_view_of_the_others_take_no_share(
+    plain_codec, cold_config
+):
+    """A restored store lists no instance; each would take most of the bound."""
+    fleet = ColdFleet(plain_codec, cold_config, 30, endpoints=1)
+    fleet.endpoints = [
+        e._replace(cold_left_ms=COLD_MS, written=(1, 2))
+        for e in fleet.endpoints
+    ]
+    fleet.addresses = {}
+    fleet.cold_until_ms["e0"] = fleet.clock.now_ms() + COLD_MS
+    for instance in list(fleet.instances):
+        fleet.stop(instance)
+    for instance in list(fleet.instances):
+        fleet.start(instance)
+    for instance in fleet.instances:
+        for _ in range(3):
+            fleet.call("/free/", instance)
+    assert fleet.most_in_a_second("e0") <= BOUND
+
+
+def test_memory_is_not_reserved_at_an_endpoint_that_has_become_cold(
+    plain_codec, cold_config, monkeypatch
+):
+    """Reservations at many endpoints are requests without permits."""
+    fleet = ColdFleet(plain_codec, cold_config, 30)
+    forwarder = fleet.instances[0].forwarder
+    called = []
+    monkeypatch.setattr(
+        forwarder.reserver,
+        "_call",
+        lambda endpoint, head, body: called.append(endpoint.id) or 200,
+    )
+    fleet.restart_endpoints(["e1"])
+    reservation = placement.Reservation(fleet.endpoints[1], 1000)
+    with pytest.raises(base.NotExecutedError):
+        forwarder.reserver.reserve("a", (reservation,))
+    assert not called
+
+
+def test_request_tries_all_cold_endpoints_before_it_is_refused(
+    plain_codec, cold_config
+):
+    """One permit is left, at the endpoint that is asked last."""
+    fleet = ColdFleet(plain_codec, cold_config, 30, endpoints=40)
+    fleet.advance(5000.0)
+    fleet.restart_endpoints([e.id for e in fleet.endpoints])
+    instance = fleet.instances[0]
+    asked = []
+
+    def acquire(attempt_id, endpoint):
+        asked.append(endpoint.id)
+        now_ms = fleet.clock.now_ms()
+        if len(asked) == len(fleet.endpoints):
+            permits.record_granted(attempt_id, endpoint.id, now_ms)
+            return True
+        permits._available_ms[endpoint.id] = now_ms + 100.0
+        return False
+
+    permits = instance.forwarder.permits
+    permits.acquire = acquire
+    assert fleet.call("/free/", instance).status == 200
+
+
 def test_restarted_instance_is_told_which_endpoints_are_cold(
     plain_codec, cold_config
 ):
@@ -475,3 +562,25 @@
         fleet.run(2.0, 150.0)
         for endpoint_id in ("e0", "e1"):
             assert fleet.most_in_a_second(endpoint_id) <= BOUND
+
+
+def test_request_does_not_wait_for_many_silent_grantors(
+    plain_codec, cold_config
+):
+    """Each silent grantor costs the time of a reply, 40 of them a second."""
+    fleet = ColdFleet(plain_codec, cold_config, 30, endpoints=40)
+    fleet.advance(5000.0)
+    fleet.restart_endpoints([e.id for e in fleet.endpoints])
+    instance = fleet.instances[0]
+    asked = []
+
+    def acquire(attempt_id, endpoint):
+        asked.append(endpoint.id)
+        fleet.advance(25.0)
+        permits._available_ms[endpoint.id] = fleet.clock.now_ms() + 250.0
+        return False
+
+    permits = instance.forwarder.permits
+    permits.acquire = acquire
+    assert fleet.call("/free/", instance).status == 503
+    assert len(asked) <= 5
