Keep a caller's connection apart from the listening server

ServerConnection is in a module of its own; it depends on the server by a protocol, in _server_interface beside the limits. The server keeps accepting, draining and closing. Tests import the connection, and replace its write timeout, where they are now; no assertion is changed.

--- a/packages/hollycart-core/src/hollycart_core/connections/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/__init__.py
@@ -23,7 +23,7 @@
 from hollycart_core.connections._messages import find_header
 from hollycart_core.connections._pool import ConnectionPool
 from hollycart_core.connections._server import HttpExchangeServer
-from hollycart_core.connections._server import ServerLimits
+from hollycart_core.connections._server_interface import ServerLimits
 
 __all__ = [
     "CallerGoneError",
--- /dev/null
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -0,0 +1,469 @@
+"""Connection of one caller to the server.
+
+It reads the requests one after the other and sends what the handler responds.
+"""
+
+from typing import Any
+
+from absl import logging
+import eventlet
+from eventlet import greenthread
+from eventlet.green import socket
+import h11
+
+from hollycart_core import base
+from hollycart_core.connections import _exchange
+from hollycart_core.connections import _exchange_memory
+from hollycart_core.connections import _memory_gate
+from hollycart_core.connections import _messages
+from hollycart_core.connections import _server_interface
+from hollycart_core.connections import _sockets
+
+_READ_BYTES = 65536
+_MAX_READ_AHEAD_BYTES = 65536  # received after the request in progress
+# Pieces of one request body: chunks, or what arrives at once.
+_MAX_BODY_PIECES = 16384
+_UNIT_BYTES = 4096  # bytes that are received in one unit of work
+_HTTP_1_0 = b"1.0"
+_WRITE_TIMEOUT_MS = 10000.0  # a caller that reads nothing is disconnected
+# Time in which the rest of a body is discarded after its request was refused.
+# A connection that is closed before would be reset, and the response lost.
+_DISCARD_TIMEOUT_MS = 1000.0
+# The refusal of a body asks for a retry after this time, in which the budget
+# sheds what is held for longest.
+_REFUSAL_RETRY_AFTER_MS = 500.0
+
+
+class ServerConnection:
+    """Connection of one caller.
+
+    Args:
+        server: The server that accepted the connection.
+        sock: Socket of the connection.
+
+    Attributes:
+        busy: Whether a request is being answered.
+        memory: What is held for the request in progress; None if there is none
+            or nothing bounds it.
+    """
+
+    def __init__(self, server: _server_interface.Server, sock: Any) -> None:
+        self.server = server
+        self.busy = False
+        self.memory: _exchange_memory.ExchangeMemory | None = None
+        self._sock = sock
+        self._http = self._new_parser()
+        self._read_ahead_data = b""
+        self._caller_gone = False
+        self._interrupted = False
+        self._head: _messages.RequestHead | None = None
+        self._received_ms = 0.0
+        self._resets_on_close = False
+        self._watcher: Any = None
+        self._thread: Any = None
+        self._work = base.WorkMeter(f"request to {server.address}")
+
+    def run(self) -> None:
+        """Serves requests until the connection ends."""
+        if self._sock is None:
+            return  # the server was closed before this thread started
+        self._thread = eventlet.getcurrent()
+        try:
+            while self._serve_one():
+                pass
+        except _exchange.CallerGoneError:
+            logging.debug("caller disconnected")
+        except OSError as exc:
+            logging.debug("connection to the caller failed: %s", exc)
+        finally:
+            self._thread = None
+            self.close()
+
+    def has_received(self) -> bool:
+        """Returns whether a request has arrived that was not answered yet."""
+        if self.busy or self._sock is None:
+            return self.busy
+        if self._read_ahead_data or self._http.trailing_data[0]:
+            return True
+        try:
+            peeked = self._sock.fd.recv(
+                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except OSError:
+            return False
+        return bool(peeked)
+
+    def terminate(self) -> None:
+        """Kills the serving thread and closes the socket."""
+        if self._thread is not None:
+            greenthread.kill(self._thread)
+        self.close()
+
+    def close(self) -> None:
+        """Closes the socket; bytes sent before are still delivered."""
+        self._stop_watcher()
+        self._close_memory()
+        sock, self._sock = self._sock, None
+        if sock is not None:
+            sock.close()
+
+    def abort(self) -> None:
+        """Closes the socket in the middle of a response."""
+        self._http.send_failed()
+        self.close()
+
+    def detach(self) -> Any:
+        """Returns the socket and serves no further requests on it."""
+        self._stop_watcher()
+        sock, self._sock = self._sock, None
+        if sock is None:
+            raise _exchange.CallerGoneError(
+                "connection to the caller is closed"
+            )
+        return sock
+
+    def send_head(
+        self, status: int, headers: _messages.Headers, length: int | None
+    ) -> None:
+        """Sends the head of a response; no `length` means chunked coding."""
+        fields = [
+            (key, value)
+            for key, value in headers
+            if key.lower() != b"content-length"
+        ]
+        if length is not None:
+            fields.append((b"Content-Length", str(length).encode()))
+        if self.server.draining or self._http.their_state is h11.SEND_BODY:
+            fields.append((b"Connection", b"close"))
+        if length is None and self._http.their_http_version == _HTTP_1_0:
+            # Only the end of the connection will declare the end of the body,
+            # so an unfinished response has to end with a reset.
+            self._set_reset_on_close(True)
+        self.send_event(
+            h11.Response(status_code=status, headers=fields, reason=b"")
+        )
+
+    def finish_response(self) -> None:
+        """Ends the response."""
+        self.send_event(h11.EndOfMessage())
+        if self.memory is None or self.memory.is_flushed:
+            self._declare_end()
+
+    def flush(self) -> None:
+        """Waits until the socket has accepted the response.
+
+        Raises:
+            CallerGoneError: If the caller disconnected or does not read.
+            ResponseShedError: If the response was given up to free memory.
+        """
+        if self.memory is None:
+            return
+        try:
+            self.memory.flush()
+        except OSError as exc:
+            raise _exchange.CallerGoneError(str(exc)) from exc
+        if self._is_response_started():
+            self.memory.raise_if_shed()
+        if self._http.our_state in (h11.DONE, h11.MUST_CLOSE):
+            self._declare_end()
+
+    def _declare_end(self) -> None:
+        """Lets the end of the connection declare the end of the body."""
+        if self._resets_on_close:
+            self._set_reset_on_close(False)
+
+    def _is_response_started(self) -> bool:
+        return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        try:
+            if self._sock is None:
+                raise _exchange.CallerGoneError(
+                    "connection to the caller is closed"
+                )
+            _sockets.set_reset_on_close(self._sock, enabled)
+        except OSError as exc:
+            raise _exchange.CallerGoneError(str(exc)) from exc
+        self._resets_on_close = enabled
+
+    def send_event(self, event: Any) -> None:
+        """Sends one h11 event of the response.
+
+        Raises:
+            CallerGoneError: If the caller disconnected or does not read.
+            ResponseShedError: If the response was given up to free memory.
+        """
+        if self.memory is not None and self.memory.shed_error is not None:
+            if self._is_response_started():
+                self.memory.raise_if_shed()
+            self._reopen_memory()  # for the response with the failure
+        memory = self.memory
+        data = self._http.send(event)
+        if not data:
+            return
+        try:
+            if self._sock is None:
+                raise _exchange.CallerGoneError(
+                    "connection to the caller is closed"
+                )
+            if memory is not None:
+                memory.write(data)
+                return
+            self._sock.settimeout(_WRITE_TIMEOUT_MS / 1000.0)
+            self._sock.sendall(data)
+        except OSError as exc:
+            raise _exchange.CallerGoneError(str(exc)) from exc
+
+    def _new_parser(self) -> Any:
+        return h11.Connection(
+            h11.SERVER, self.server.limits.max_header_bytes + _READ_BYTES
+        )
+
+    def _serve_one(self) -> bool:
+        self._interrupted = False
+        exchange = self._read_request()
+        if exchange is None:
+            return False
+        self.busy = True
+        self.server.running += 1
+        self._watcher = eventlet.spawn(self._detect_disconnect)
+        try:
+            self.server.handler(exchange)
+            self.flush()
+        except _memory_gate.ResponseShedError as exc:
+            logging.info("response given up: %s", exc.detail)
+            self.abort()
+        finally:
+            self._stop_watcher()
+            self._close_memory()
+            self.server.running -= 1
+            self.busy = False
+        if self._sock is None or self._caller_gone:
+            return False
+        if exchange.refusal is not None:
+            self._discard_rest()
+        if (
+            self._http.our_state is not h11.DONE
+            or self._http.their_state is not h11.DONE
+        ):
+            return False
+        self._http.start_next_cycle()
+        return not self.server.closing or self.has_received()
+
+    def _stop_watcher(self) -> None:
+        # The watcher stops before the socket is closed, because the kernel may
+        # reuse the file descriptor at once.
+        watcher, self._watcher = self._watcher, None
+        if watcher is not None and watcher is not eventlet.getcurrent():
+            watcher.kill()
+
+    def _close_memory(self) -> None:
+        memory, self.memory = self.memory, None
+        if memory is not None:
+            memory.close()
+
+    def _open_memory(self) -> None:
+        if self.server.memory is not None:
+            self.memory = _exchange_memory.ExchangeMemory(
+                self.server.memory,
+                self._sock,
+                _WRITE_TIMEOUT_MS,
+                self._schedule_shedding,
+                self._handle_failed_send,
+            )
+
+    def _reopen_memory(self) -> None:
+        """Opens a new account after the former one was shed."""
+        self._close_memory()
+        self._open_memory()
+
+    def _schedule_shedding(self, exc: _memory_gate.ResponseShedError) -> None:
+        eventlet.spawn_n(self._interrupt_shed, exc)
+
+    def _interrupt_shed(self, exc: _memory_gate.ResponseShedError) -> None:
+        memory = self.memory
+        if memory is None or memory.is_raised:
+            return
+        if memory.shed_error is exc:
+            self._interrupt(exc)
+
+    def _handle_failed_send(self, detail: str) -> None:
+        if self.memory is not None and not self._interrupted:
+            self._caller_gone = True
+            self._interrupt(_exchange.CallerGoneError(detail))
+
+    def _interrupt(self, exc: base.HollycartError) -> None:
+        """Raises a failure in the thread that serves the request, once."""
+        if not self._interrupted:
+            self._interrupted = True
+            greenthread.kill(self._thread, exc)
+
+    def _detect_disconnect(self) -> None:
+        """Reads ahead and interrupts the handler if the caller disconnects."""
+        sock = self._sock
+        pipelined_bytes = len(self._http.trailing_data[0])
+        while (
+            sock is not None
+            and pipelined_bytes + len(self._read_ahead_data)
+            < _MAX_READ_AHEAD_BYTES
+        ):
+            try:
+                sock.settimeout(None)
+                data = sock.recv(_READ_BYTES)
+            except OSError:
+                data = b""
+            if not data:
+                self._caller_gone = True
+                self._interrupt(
+                    _exchange.CallerGoneError("caller closed the connection")
+                )
+                return
+            self._read_ahead_data += data
+
+    def _read_request(self) -> _exchange.Exchange | None:
+        self._head = None
+        try:
+            return self._receive_request()
+        except _memory_gate.ResponseShedError as exc:
+            if self._head is None:
+                raise
+            self._reopen_memory()
+            self._interrupted = False
+            refusal = base.OverloadedError(
+                f"the body was not received: {exc.detail}",
+                _REFUSAL_RETRY_AFTER_MS,
+            )
+            return _exchange.Exchange(
+                self, self._head, b"", self._received_ms, refusal
+            )
+
+    def _receive_request(self) -> _exchange.Exchange | None:
+        limits = self.server.limits
+        clock = self.server.clock
+        parts: list[bytes] = []
+        size = 0
+        started_ms: float | None = None
+        self._parse_read_ahead()
+        while True:
+            self._work.add(1)
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as exc:
+                self._reject(exc.error_status_hint, str(exc))
+                return None
+            if isinstance(event, h11.Request):
+                self._head = _messages.RequestHead(
+                    bytes(event.method),
+                    bytes(event.target),
+                    tuple(event.headers.raw_items()),
+                )
+                self._received_ms = clock.now_ms()
+                self._open_memory()
+                if self._http.they_are_waiting_for_100_continue:
+                    self.send_event(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                parts.append(bytes(event.data))
+                if (
+                    size > limits.max_body_bytes
+                    or len(parts) > _MAX_BODY_PIECES
+                ):
+                    self._reject(
+                        413,
+                        f"body exceeds {limits.max_body_bytes} bytes or "
+                        f"{_MAX_BODY_PIECES} pieces",
+                    )
+                    return None
+                if self.memory is not None:
+                    self.memory.add_body(len(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                assert self._head is not None
+                if self.memory is not None:
+                    self.memory.complete_body(size)
+                return _exchange.Exchange(
+                    self, self._head, b"".join(parts), self._received_ms
+                )
+            elif event is h11.NEED_DATA:
+                if started_ms is None and self._http.trailing_data[0]:
+                    started_ms = clock.now_ms()
+                body_since_ms = self._received_ms if self._head else None
+                if not self._receive(limits, body_since_ms, started_ms):
+                    return None
+                if started_ms is None:
+                    started_ms = clock.now_ms()
+            else:
+                return None
+
+    def _receive(
+        self,
+        limits: _server_interface.ServerLimits,
+        body_since_ms: float | None,
+        started_ms: float | None,
+    ) -> bool:
+        """Receives more bytes of a request.
+
+        Args:
+            limits: Timeouts of the connection.
+            body_since_ms: Instant at which the head of the request was
+                complete; None if it is not.
+            started_ms: Instant of the first bytes of the request; None if
+                none have arrived.
+
+        Returns:
+            False if the connection timed out or failed, or was closed between
+            requests.
+        """
+        now_ms = self.server.clock.now_ms()
+        timeout_ms = limits.idle_timeout_ms
+        if body_since_ms is not None:
+            left_ms = body_since_ms + limits.body_timeout_ms - now_ms
+            timeout_ms = max(1.0, min(timeout_ms, left_ms))
+        elif started_ms is not None:
+            left_ms = started_ms + limits.header_timeout_ms - now_ms
+            timeout_ms = max(1.0, left_ms)
+        try:
+            self._sock.settimeout(timeout_ms / 1000.0)
+            data = self._sock.recv(_READ_BYTES)
+        except TimeoutError:
+            if started_ms is not None:
+                self._reject(408, "timed out before the request was complete")
+            return False
+        except OSError:
+            return False
+        if not data and started_ms is None:
+            return False
+        if body_since_ms is not None and timeout_ms <= 1.0:
+            self._reject(408, "the body of the request took too long")
+            return False
+        self._work.add(len(data) // _UNIT_BYTES)
+        self._http.receive_data(data)
+        return True
+
+    def _parse_read_ahead(self) -> None:
+        if self._read_ahead_data:
+            data, self._read_ahead_data = self._read_ahead_data, b""
+            self._http.receive_data(data)
+
+    def _discard_rest(self) -> None:
+        """Reads the rest of a body that is not wanted, for a short time."""
+        clock = self.server.clock
+        end_ms = clock.now_ms() + _DISCARD_TIMEOUT_MS
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+            while clock.now_ms() < end_ms:
+                self._sock.settimeout((end_ms - clock.now_ms()) / 1000.0)
+                data = self._sock.recv(_READ_BYTES)
+                if not data:
+                    return
+                self._work.add(1 + len(data) // _UNIT_BYTES)
+        except OSError as exc:
+            logging.debug("rest of a body not discarded: %s", exc)
+
+    def _reject(self, status: int, detail: str) -> None:
+        logging.info("request rejected: status=%d detail=%s", status, detail)
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        self.send_head(status, ((b"Connection", b"close"),), 0)
+        self.finish_response()
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_endless_callers.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_endless_callers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hollycart_core import connections
-from hollycart_core.connections import _server
+from hollycart_core.connections import _server_connection
 
 PIECE_BYTES = 65536
 LIMITS = connections.ServerLimits(max_body_bytes=1 << 20)
@@ -61,7 +61,7 @@
 
 
 def serve(server, sock):
-    _server._ServerConnection(server, sock).run()
+    _server_connection.ServerConnection(server, sock).run()
 
 
 @pytest.mark.parametrize("kind", FLOODS)
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hollycart_core import connections
-from hollycart_core.connections import _server
+from hollycart_core.connections import _server_connection
 
 
 @pytest.fixture
@@ -150,7 +150,9 @@
 ):
     server = start_server(lambda exchange: exchange.respond(200, (), b""))
     ours, theirs = socket.socketpair()
-    conn = _server._ServerConnection(server, greenio.GreenSocket(ours))
+    conn = _server_connection.ServerConnection(
+        server, greenio.GreenSocket(ours)
+    )
     conn.terminate()
     conn.run()
     theirs.close()
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_slow_callers.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_slow_callers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hollycart_core import connections
-from hollycart_core.connections import _server
+from hollycart_core.connections import _server_connection
 
 BODY = bytes(range(256)) * 2000  # 512 KB, more than the kernel holds here
 PARTS = [BODY[i : i + 65536] for i in range(0, len(BODY), 65536)]
@@ -174,7 +174,7 @@
 def test_caller_that_reads_nothing_is_disconnected(
     start_server, memory, connect, eventually, monkeypatch
 ):
-    monkeypatch.setattr(_server, "_WRITE_TIMEOUT_MS", 100.0)
+    monkeypatch.setattr(_server_connection, "_WRITE_TIMEOUT_MS", 100.0)
     server = start_server(write_chunks)
     connect(server.address, GET)
     eventually(lambda: memory.buffered_responses)
@@ -186,7 +186,7 @@
     start_server, memory, connect, eventually, monkeypatch
 ):
     """The kernel reports room only once a third of its buffer is free."""
-    monkeypatch.setattr(_server, "_WRITE_TIMEOUT_MS", 200.0)
+    monkeypatch.setattr(_server_connection, "_WRITE_TIMEOUT_MS", 200.0)
     server = start_server(respond)
     sock = connect(server.address, GET)
     eventually(lambda: memory.buffered_responses)
