Take retries, attribution and recording out of the forwarder

RetryControl decides whether a request is tried again, FailureAttribution records failed attempts against endpoints, and OutcomeRecorder writes the decision log and the metrics of requests.

The statements are as before, but for two orders without effect: an evacuation counts its placement before the configuration is read for the log, and the status of a failure is computed once for the log and once for the response.

--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -9,6 +9,7 @@
 from hollycart.gateway import _admission
 from hollycart.gateway import _attempt
 from hollycart.gateway import _attempt_placer
+from hollycart.gateway import _attribution
 from hollycart.gateway import _chooser
 from hollycart.gateway import _codec
 from hollycart.gateway import _cold
@@ -23,10 +24,12 @@
 from hollycart.gateway import _messages
 from hollycart.gateway import _monitor
 from hollycart.gateway import _notices
+from hollycart.gateway import _outcomes
 from hollycart.gateway import _peers
 from hollycart.gateway import _permits
 from hollycart.gateway import _reported_load
 from hollycart.gateway import _reserver
+from hollycart.gateway import _retries
 from hollycart.gateway import _settings
 from hollycart.gateway import _share_guard
 from hollycart.gateway import _spill
@@ -39,11 +42,6 @@
 from hollycart_core import placement
 
 _CONNECT_TIMEOUT_MS = 250.0  # far above a round trip, below the shortest target
-# A request that endpoints reject more often than this fails.
-_MAX_REJECTIONS = 3
-# Delay before a prompt is placed again when KV-cache memory was not available.
-# Batch steps, after which memory may become free, end more often than this.
-_MEMORY_RETRY_INTERVAL_MS = 100.0
 # After these failures, other endpoints of the attempt may have failed as well.
 _ENDPOINT_LOSSES = (
     _failures.HelperRejectedError,
@@ -202,6 +200,20 @@
             log,
             clock,
         )
+        self.retries = _retries.RetryControl(
+            platform_state, peers, budget, log, metrics, clock
+        )
+        self._attribution = _attribution.FailureAttribution(
+            self.monitor,
+            self.notices,
+            self.crash_watch,
+            self.dependencies,
+            health,
+            clock,
+        )
+        self.outcomes = _outcomes.OutcomeRecorder(
+            platform_state, log, metrics, clock
+        )
         self._liveness = _liveness.EndpointLiveness(codec, self.notices, clock)
         self._attempt_relay = _attempt.AttemptRelay(
             codec,
@@ -212,7 +224,7 @@
             log,
             clock,
             stall_ms,
-            self._has_retries,
+            self.retries.has_retries,
         )
         self._ids = itertools.count()
 
@@ -288,13 +300,9 @@
             # No attempt holds anything at its endpoint while the caller reads.
             exchange.release_body()
             exchange.flush()
-            self._record_response(request, progress)
+            self.outcomes.record_response(request, progress)
         except connections.CallerGoneError:
-            total_ms = self.clock.now_ms() - exchange.received_ms
-            self.metrics.count("caller_left")
-            self.log.write(
-                observe.decisions.CallerLeft(request_id, round(total_ms, 1))
-            )
+            self.outcomes.record_caller_left(exchange, request_id)
             raise
         except base.HollycartError as exc:
             self._fail_request(exchange, request_id, progress, exc)
@@ -337,18 +345,7 @@
                 chosen.assignments[0].attempt_id, chosen.assignments
             )
             self.delegator.start_decoding(chosen.assignments[0].attempt_id)
-        total_ms = now_ms - request.exchange.received_ms
-        team = request.team.name if request.team else ""
-        self.metrics.record("first_event", team, request.route.name, total_ms)
-        self.log.write(
-            observe.decisions.FirstEvent(
-                request.meta.request_id,
-                chosen.endpoint.id,
-                round(chosen.first_event_ms, 1),
-                round(now_ms - sent_ms, 1),
-                round(total_ms, 1),
-            )
-        )
+        self.outcomes.record_first_event(request, chosen, now_ms, sent_ms)
 
     def _run_attempts(
         self, request: _job.AdmittedRequest, progress: _job.Progress
@@ -362,16 +359,16 @@
             except connections.CallerGoneError:
                 raise
             except _failures.MemoryUnavailableError as exc:
-                if not self._may_wait_for_memory(request):
-                    raise _final_failure(exc, progress) from exc
-                self.clock.sleep_ms(_MEMORY_RETRY_INTERVAL_MS)
+                if not self.retries.may_wait_for_memory(request):
+                    raise _retries.final_failure(exc, progress) from exc
+                self.clock.sleep_ms(_retries.MEMORY_RETRY_INTERVAL_MS)
             except (
                 base.NotExecutedError,
                 base.EndpointUnreachableError,
             ) as exc:
                 progress.rejections += 1
-                if not self._admit_retry(request, progress, exc):
-                    raise _final_failure(exc, progress) from exc
+                if not self.retries.admit_retry(request, progress, exc):
+                    raise _retries.final_failure(exc, progress) from exc
                 if isinstance(exc, _ENDPOINT_LOSSES):
                     self.monitor.probe_all(progress.participants)
             except (
@@ -381,7 +378,7 @@
                 base.StaleConfigError,
                 base.UnauthorizedError,
             ) as exc:
-                raise _final_failure(exc, progress) from exc
+                raise _retries.final_failure(exc, progress) from exc
             except base.EndpointFailedError as exc:
                 progress.may_have_executed = True
                 # Also tells the other instances of a crash.
@@ -390,63 +387,10 @@
                     not may_retry
                     or not request.route.repeatable
                     or progress.counted_executions >= request.route.max_attempts
-                    or not self._admit_retry(request, progress, exc)
+                    or not self.retries.admit_retry(request, progress, exc)
                 ):
                     raise
 
-    def _may_wait_for_memory(self, request: _job.AdmittedRequest) -> bool:
-        """Returns whether a prompt may wait for KV-cache memory.
-
-        It waits up to its target latency. After that it is better for the
-        caller to retry later than to wait for memory that other requests hold.
-        """
-        elapsed_ms = self.clock.now_ms() - request.exchange.received_ms
-        remaining_ms = request.deadline_ms - self.clock.now_ms()
-        return (
-            elapsed_ms < request.route.target_ms
-            and remaining_ms > _MEMORY_RETRY_INTERVAL_MS
-        )
-
-    def _admit_retry(
-        self,
-        request: _job.AdmittedRequest,
-        progress: _job.Progress,
-        exc: base.HollycartError,
-    ) -> bool:
-        """Returns whether to retry; if so, charges the retry budget."""
-        now_ms = self.clock.now_ms()
-        if progress.rejections > _MAX_REJECTIONS:
-            return False
-        if request.deadline_ms - now_ms < _attempt.MIN_REMAINING_MS:
-            return False
-        # The route may have been removed since the request was admitted.
-        cfg = self.platform_state.config
-        assert cfg is not None
-        if cfg.find_route(request.meta.host, request.meta.path) is None:
-            return False
-        service, instances = request.service.name, self.peers.fleet_size()
-        # The budget bounds arrivals; if nothing was sent there was none.
-        is_arrival = not isinstance(
-            exc,
-            (base.EndpointUnreachableError, _failures.EndpointEvacuatedError),
-        )
-        if is_arrival and not self.budget.take(service, now_ms, instances):
-            self.metrics.count("retry_budget_empty")
-            return False
-        self.metrics.count(f"repeated.{exc.code}")
-        self.log.write(
-            observe.decisions.Repeated(
-                request.meta.request_id,
-                exc.code,
-                exc.detail,
-                progress.possible_executions,
-                progress.rejections,
-                round(self.budget.left(service, now_ms, instances), 1),
-                progress.events.last_id,
-            )
-        )
-        return True
-
     def _find_out_crash(self, endpoint_id: str) -> None:
         """Finds out whether an engine that broke off an attempt has crashed.
 
@@ -475,7 +419,8 @@
         progress.attempt_id = attempt_id
         progress.is_isolated = self.guard.should_isolate(request, progress)
         chosen = self._attempt_placer.place(request, progress, attempt_id)
-        self._log_placement(request, chosen, attempt_id, now_ms)
+        self.evacuation.record_placement(request.service.name, chosen)
+        self.outcomes.record_placement(request, chosen, attempt_id, now_ms)
         endpoint = chosen.endpoint
         progress.participants = tuple(a.endpoint for a in chosen.assignments)
         self.chooser.in_flight[endpoint.id] += 1
@@ -506,7 +451,7 @@
             self.health.record_success(endpoint.id)
         except base.HollycartError as exc:
             failure = exc
-            self._attribute_failure(progress, chosen, exc)
+            self._attribution.attribute(progress, chosen, exc)
             raise
         finally:
             self.crash_watch.end(attempt_id, failure)
@@ -534,13 +479,6 @@
             endpoint, response, self.chooser.in_flight[endpoint.id]
         )
 
-    def _has_retries(self, service: str) -> bool:
-        """Returns whether the retry budget of a service has room."""
-        left = self.budget.left(
-            service, self.clock.now_ms(), self.peers.fleet_size()
-        )
-        return left >= 1.0
-
     def _check_deadline(self, request: _job.AdmittedRequest) -> float:
         """Returns the current instant, if time is left for an attempt.
 
@@ -565,104 +503,6 @@
             new_only=not request.route.repeatable,
         )
 
-    def _attribute_failure(
-        self,
-        progress: _job.Progress,
-        chosen: placement.Placement,
-        exc: base.HollycartError,
-    ) -> None:
-        """Records a failed attempt against the endpoint that caused it.
-
-        The endpoint is excluded from further attempts of the request. There
-        is nothing to record if a reservation failed, or if the monitor has
-        already found the endpoint unreachable.
-        """
-        endpoint_id = chosen.endpoint.id
-        now_ms = self.clock.now_ms()
-        if isinstance(exc, _failures.EndpointEvacuatedError):
-            return  # no endpoint of the zone is chosen again
-        if isinstance(exc, _failures.HelperRejectedError):
-            progress.excluded.add(exc.endpoint_id)
-            self.monitor.schedule_probe(exc.endpoint_id)
-        elif isinstance(exc, _failures.EndpointReplacedError):
-            progress.excluded.add(endpoint_id)
-            self.notices.record_replaced(chosen.endpoint)
-            # What ran there has ended with the former process.
-            self.crash_watch.handle_refused(endpoint_id)
-            self.dependencies.abort_dependents(endpoint_id)
-        elif isinstance(exc, base.EndpointUnreachableError):
-            progress.excluded.add(endpoint_id)
-            if isinstance(exc.__cause__, TimeoutError):
-                # A single packet may be lost; what runs there goes on.
-                self.health.record_timeout(endpoint_id, now_ms)
-                self.monitor.schedule_probe(endpoint_id)
-            else:
-                self.monitor.report_unreachable(
-                    endpoint_id, isinstance(exc.__cause__, ConnectionError)
-                )
-        elif isinstance(exc, base.SilentEndpointError):
-            progress.excluded.add(endpoint_id)
-            self.health.record_timeout(endpoint_id, now_ms)
-            for assignment in chosen.assignments:
-                self.monitor.schedule_probe(assignment.endpoint)
-        elif isinstance(exc, _failures.EndpointLostError):
-            return
-        elif isinstance(exc, base.EndpointFailedError):
-            progress.excluded.add(endpoint_id)
-            self.health.record_failure(endpoint_id, now_ms)
-            self.monitor.schedule_probe(endpoint_id)
-        elif isinstance(exc, base.NotExecutedError) and not isinstance(
-            exc, _failures.MemoryUnavailableError
-        ):
-            progress.excluded.add(endpoint_id)
-
-    def _log_placement(
-        self,
-        request: _job.AdmittedRequest,
-        chosen: placement.Placement,
-        attempt_id: str,
-        now_ms: float,
-    ) -> None:
-        cfg = self.platform_state.config
-        self.evacuation.record_placement(request.service.name, chosen)
-        self.log.write(
-            observe.decisions.Placed(
-                request.meta.request_id,
-                attempt_id,
-                chosen.endpoint.id,
-                tuple(h.id for h in chosen.helpers),
-                request.meta.prompt_tokens,
-                round(chosen.first_event_ms, 1),
-                round(chosen.predicted_loss, 3),
-                cfg.version if cfg else 0,
-                round(self.platform_state.freshness.age_ms(now_ms), 1),
-                sum(r.tokens for r in chosen.reservations),
-                request.traits,
-            )
-        )
-
-    def _record_response(
-        self, request: _job.AdmittedRequest, progress: _job.Progress
-    ) -> None:
-        total_ms = self.clock.now_ms() - request.exchange.received_ms
-        team = request.team.name if request.team else ""
-        self.metrics.count(f"answered.{progress.status}")
-        self.metrics.count(f"answered_framing.{progress.framing}")
-        self.metrics.record("answer", team, request.route.name, total_ms)
-        self.log.write(
-            observe.decisions.Answered(
-                request.meta.request_id,
-                progress.status,
-                progress.responded_by,
-                progress.possible_executions,
-                progress.events.count,
-                round(progress.longest_gap_ms, 1),
-                round(total_ms, 1),
-                progress.framing,
-                progress.trailing_bytes,
-            )
-        )
-
     def _fail_request(
         self,
         exchange: connections.Exchange,
@@ -670,26 +510,10 @@
         progress: _job.Progress,
         exc: base.HollycartError,
     ) -> None:
-        now_ms = self.clock.now_ms()
-        cfg = self.platform_state.config
-        age_ms = self.platform_state.freshness.age_ms(now_ms)
+        self.outcomes.record_failure(exchange, request_id, progress, exc)
         status = 0 if exchange.response_started else exc.http_status
-        self.metrics.count(f"failed.{exc.code}")
-        self.log.write(
-            observe.decisions.Failed(
-                request_id,
-                status,
-                exc.code,
-                exc.detail,
-                progress.possible_executions,
-                exc.retry_after_ms,
-                cfg.version if cfg else 0,
-                round(age_ms, 1) if cfg else None,
-                round(now_ms - exchange.received_ms, 1),
-            )
-        )
         if isinstance(exc, connections.ResponseShedError):
-            self._log_shed(request_id, progress, exc)
+            self.outcomes.record_shed(request_id, progress, exc)
         if exchange.response_started:
             if not isinstance(exc, connections.ResponseShedError):
                 exchange.flush()  # events that arrived before the failure
@@ -697,39 +521,3 @@
             return
         headers = self.codec.encode_failure(request_id, exc.retry_after_ms)
         exchange.respond(status, headers, b"")
-
-    def _log_shed(
-        self,
-        request_id: str,
-        progress: _job.Progress,
-        exc: connections.ResponseShedError,
-    ) -> None:
-        self.metrics.count("response_shed")
-        self.log.write(
-            observe.decisions.ResponseShed(
-                request_id,
-                progress.responded_by,
-                exc.account_bytes,
-                exc.held_bytes,
-                round(exc.held_ms, 1),
-                progress.status != 0,
-            )
-        )
-
-
-def _final_failure(
-    exc: base.HollycartError, progress: _job.Progress
-) -> base.HollycartError:
-    """Returns the failure of a request whose last attempt failed.
-
-    The failure states that the request was not executed only if no attempt can
-    have been executed.
-    """
-    if progress.may_have_executed:
-        return base.EndpointFailedError(
-            "an earlier attempt may have been executed, the last one failed: "
-            f"{exc.detail}"
-        )
-    if isinstance(exc, base.EndpointUnreachableError):
-        return base.NoEndpointError(exc.detail, _failures.RETRY_AFTER_MS)
-    return exc
