--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -123,6 +123,17 @@
     return 0
 
 
+def compare_cuts(*, seeds: int = 20) -> int:
+    """Compares what instances do while they are cut off from each other.
+
+    Args:
+        seeds: Number of seeds.
+    """
+    results = experiment.compare_cuts(range(1, seeds + 1))
+    sys.stdout.write(experiment.format_cuts(results) + "\n")
+    return 0
+
+
 def measure(
     *,
     quick: bool = False,
@@ -221,6 +232,7 @@
                 soak,
                 calm,
                 compare,
+                compare_cuts,
                 measure,
                 recover,
                 cell,
--- a/packages/hollycart-bench/src/hollycart_bench/experiment/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/experiment/__init__.py
@@ -1,5 +1,8 @@
 """Simulated grids of placement schemes, loads and seeds."""
 
+from hollycart_bench.experiment._cut import CutResult
+from hollycart_bench.experiment._cut import compare_cuts
+from hollycart_bench.experiment._cut import format_cuts
 from hollycart_bench.experiment._grid import Cell
 from hollycart_bench.experiment._grid import Grid
 from hollycart_bench.experiment._grid import run_grid
@@ -9,9 +12,12 @@
 
 __all__ = [
     "Cell",
+    "CutResult",
     "Difference",
     "Grid",
     "compare",
+    "compare_cuts",
+    "format_cuts",
     "run_grid",
     "write_report",
 ]
--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -11,6 +11,7 @@
 from hollycart_core.placement._conflicts import needs_confirmation
 from hollycart_core.placement._engine_model import EngineModel
 from hollycart_core.placement._health import EndpointHealth
+from hollycart_core.placement._isolation import HEARD_MS
 from hollycart_core.placement._isolation import MISSING_MS
 from hollycart_core.placement._isolation import CellContact
 from hollycart_core.placement._isolation import HeardInstance
@@ -48,6 +49,7 @@
     "EndpointRateLimits",
     "EndpointRestrictions",
     "EngineModel",
+    "HEARD_MS",
     "HeardInstance",
     "Isolation",
     "LoadQueries",
