--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -18,6 +18,7 @@
 from hollycart_core.placement._evacuations import ZoneEvacuation
 from hollycart_core.placement._evacuations import ZoneEvacuations
 from hollycart_core.placement._health import EndpointHealth
+from hollycart_core.placement._isolation import HEARD_MS
 from hollycart_core.placement._isolation import MISSING_MS
 from hollycart_core.placement._isolation import CellContact
 from hollycart_core.placement._isolation import HeardInstance
@@ -72,6 +73,7 @@
     "EndpointRateLimits",
     "EndpointRestrictions",
     "EngineModel",
+    "HEARD_MS",
     "HeardInstance",
     "HomeState",
     "Isolation",
