Let decisions be made without effects

Operators shall be able to ask where a request would be sent. The owners of the decisions get what a dry run needs: admission in steps, a share guard that plans on a copy, the trial of a quarantine without a claim, the loss from which a prompt is offered, and the other cells that are open.

LocalShares.wait_ms no longer removes entries whose time has passed, so that asking for the wait changes nothing; take and send still do.

No decision on a request changes.

--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -29,6 +29,7 @@
 from hollycart_core.placement._load_queries import unaccounted_load
 from hollycart_core.placement._load_view import LoadView
 from hollycart_core.placement._offers import max_remote_loss
+from hollycart_core.placement._offers import min_offer_loss
 from hollycart_core.placement._placer import Placer
 from hollycart_core.placement._rate_limits import EndpointRateLimits
 from hollycart_core.placement._rate_limits import RateStatement
@@ -90,6 +91,7 @@
     "group_zones",
     "least_busy",
     "max_remote_loss",
+    "min_offer_loss",
     "measure_usage",
     "needs_confirmation",
     "needs_queries",
--- a/packages/hollycart-core/src/hollycart_core/placement/_cold_rates.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_cold_rates.py
@@ -138,11 +138,14 @@
 
     def wait_ms(self, endpoint_id: str, share: int, now_ms: float) -> float:
         """Returns the time until a part of the share is free, in ms."""
-        counted = self._remove_past(endpoint_id, now_ms)
-        if len(counted) < share:
+        ends_ms = sorted(
+            end_ms
+            for end_ms, _ in self._counted.get(endpoint_id, {}).values()
+            if end_ms > now_ms
+        )
+        if len(ends_ms) < share:
             return 0.0
-        ends_ms = sorted(end_ms for end_ms, _ in counted.values())
-        return ends_ms[len(counted) - share] - now_ms
+        return ends_ms[len(ends_ms) - share] - now_ms
 
     def _remove_past(
         self, endpoint_id: str, now_ms: float
--- a/packages/hollycart-core/src/hollycart_core/placement/_health.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_health.py
@@ -134,6 +134,11 @@
             return True
         return not state.unreachable and now_ms >= state.ejected_until_ms
 
+    def is_unreachable(self, endpoint: str) -> bool:
+        """Returns whether no connection to an endpoint could be made."""
+        state = self._states.get(endpoint)
+        return state is not None and state.unreachable
+
     def unreachable(self) -> list[str]:
         """Returns the endpoints to which no connection could be made."""
         return [e for e, s in self._states.items() if s.unreachable]
--- a/packages/hollycart-core/src/hollycart_core/placement/_offers.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_offers.py
@@ -44,6 +44,14 @@
     """
     if own is None or own.retry_after_ms(prompt) is not None:
         return float("inf")
-    if own.predicted_loss < min(_OFFER_LOSS * prompt.weight, _MAX_OFFER_LOSS):
+    if own.predicted_loss < min_offer_loss(prompt):
         return None
     return own.predicted_loss - _CROSSING_LOSS
+
+
+def min_offer_loss(prompt: _types.Prompt) -> float:
+    """Returns the loss in the own cell from which a prompt is offered.
+
+    One whose caller would leave before its first event is offered in any case.
+    """
+    return min(_OFFER_LOSS * prompt.weight, _MAX_OFFER_LOSS)
--- a/packages/hollycart/src/hollycart/gateway/_admission.py
+++ b/packages/hollycart/src/hollycart/gateway/_admission.py
@@ -68,6 +68,20 @@
             NotFoundError: If no route matches.
             UnauthorizedError: If the API key is unknown.
         """
+        cfg, route = self.match(meta)
+        self._check_draining(route)
+        team = self.authorize(cfg, route, meta)
+        return self.resolve(exchange, meta, cfg, route, team)
+
+    def match(
+        self, meta: _codec.RequestMeta
+    ) -> tuple[routing.RoutingConfig, routing.Route]:
+        """Returns the configuration in force and the route of a request.
+
+        Raises:
+            StaleConfigError: If there is no configuration.
+            NotFoundError: If no route matches.
+        """
         cfg = self.platform_state.config
         if cfg is None:
             raise base.StaleConfigError(
@@ -76,9 +90,22 @@
         route = cfg.find_route(meta.host, meta.path)
         if route is None:
             raise base.NotFoundError(f"no route matches {meta.host}{meta.path}")
-        self._check_draining(route)
-        team = self.authorize(cfg, route, meta)
-        name = cfg.choose_service(route, _hash_fraction(meta.request_id))
+        return cfg, route
+
+    def resolve(
+        self,
+        exchange: connections.Exchange,
+        meta: _codec.RequestMeta,
+        cfg: routing.RoutingConfig,
+        route: routing.Route,
+        team: routing.Team | None,
+    ) -> _job.AdmittedRequest:
+        """Returns the request with its service and deadline.
+
+        Raises:
+            NoEndpointError: If the service of the route is not configured.
+        """
+        name = choose_service(cfg, route, meta)
         service = cfg.services.get(name)
         if service is None:
             raise base.NoEndpointError(f"service {name} is not configured")
@@ -183,6 +210,13 @@
             raise base.NotExecutedError(detail, _failures.RETRY_AFTER_MS)
 
 
+def choose_service(
+    cfg: routing.RoutingConfig, route: routing.Route, meta: _codec.RequestMeta
+) -> str:
+    """Returns the name of the service of a request."""
+    return cfg.choose_service(route, _hash_fraction(meta.request_id))
+
+
 def _hash_fraction(request_id: str) -> float:
     """Returns a hash of the id, in [0, 1), that is equal on all instances."""
     return float(xxhash.xxh32_intdigest(request_id.encode())) / 2.0**32
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -100,7 +100,7 @@
             assert endpoint is not None
             return placement.Placement(endpoint, (), (), 0.0, 0.0)
         model = self.model(service.engine)
-        prompt = self._make_prompt(request, progress, attempt_id, now_ms)
+        prompt = self.make_prompt(request, progress, attempt_id, now_ms)
         own = None
         if progress.is_isolated:
             busy = self._busy_endpoints(service.name)
@@ -169,7 +169,7 @@
         """
         if request.service.engine is None or not request.meta.prompt_tokens:
             return None
-        prompt = self._make_prompt(request, progress, attempt_id, now_ms)
+        prompt = self.make_prompt(request, progress, attempt_id, now_ms)
         return self.place_in_cell(
             request.service, prompt, progress.excluded, now_ms
         )
@@ -273,13 +273,14 @@
             if e.service == service and any(view.on_endpoint(e.id))
         }
 
-    def _make_prompt(
+    def make_prompt(
         self,
         request: _job.AdmittedRequest,
         progress: _job.Progress,
         attempt_id: str,
         now_ms: float,
     ) -> placement.Prompt:
+        """Returns what placement needs of a request to a model engine."""
         assert request.service.engine is not None
         elapsed_ms = now_ms - request.exchange.received_ms
         last_activity_ms = (
--- a/packages/hollycart/src/hollycart/gateway/_crash_guard.py
+++ b/packages/hollycart/src/hollycart/gateway/_crash_guard.py
@@ -106,6 +106,28 @@
                 return
         self._refuse(entry, now_ms)
 
+    def preview_trial(
+        self, request: _job.AdmittedRequest
+    ) -> crashes.QuarantineEntry | None:
+        """Returns the trial that a request would be admitted as, if any.
+
+        Nothing is claimed.
+
+        Raises:
+            QuarantinedError: If a trait of the request is in quarantine. The
+                caller may be told to return later than this error says.
+        """
+        entry = self._find(request)
+        if entry is None:
+            return None
+        now_ms = self.clock.now_ms()
+        unshared = crashes.Quarantine()
+        unshared.merge(entry, now_ms)
+        claimed = unshared.claim_trial(entry, self.peers.name, now_ms)
+        if claimed is None:
+            raise _refusal(entry, now_ms, 0.0)
+        return claimed
+
     def check(
         self, request: _job.AdmittedRequest, progress: _job.Progress
     ) -> None:
@@ -220,18 +242,7 @@
         return self.quarantine.suspicion(request.service.name, request.traits)
 
     def _refuse(self, entry: crashes.QuarantineEntry, now_ms: float) -> None:
-        wait_ms = max(0.0, entry.trial_at_ms - now_ms)
-        outcome_ms = min(_TRIAL_OUTCOME_MS, entry.trial_delay_ms)
-        spread_ms = _RETURN_SPREAD * wait_ms * self.rng.random()
-        raise base.QuarantinedError(
-            f"trait {entry.trait} has crashed engines of service "
-            f"{entry.service}, the last one "
-            f"{now_ms - entry.last_crash_ms:.0f} ms ago",
-            max(
-                placement.MIN_RETRY_AFTER_MS,
-                wait_ms + outcome_ms + spread_ms,
-            ),
-        )
+        raise _refusal(entry, now_ms, self.rng.random())
 
     def _handle_own_change(
         self, changed: Sequence[crashes.QuarantineEntry]
@@ -266,3 +277,27 @@
                 self.watch.abort_waiting(
                     entry.service, entry.traits, entry.trial_by
                 )
+
+
+def _refusal(
+    entry: crashes.QuarantineEntry, now_ms: float, spread: float
+) -> base.QuarantinedError:
+    """Returns the refusal of a request with a trait in quarantine.
+
+    Args:
+        entry: The entry of the trait.
+        now_ms: Current instant.
+        spread: Share of the longest spread by which the caller returns later.
+    """
+    wait_ms = max(0.0, entry.trial_at_ms - now_ms)
+    outcome_ms = min(_TRIAL_OUTCOME_MS, entry.trial_delay_ms)
+    spread_ms = _RETURN_SPREAD * wait_ms * spread
+    return base.QuarantinedError(
+        f"trait {entry.trait} has crashed engines of service "
+        f"{entry.service}, the last one "
+        f"{now_ms - entry.last_crash_ms:.0f} ms ago",
+        max(
+            placement.MIN_RETRY_AFTER_MS,
+            wait_ms + outcome_ms + spread_ms,
+        ),
+    )
--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -86,12 +86,7 @@
         max_loss = placement.max_remote_loss(prompt, own)
         if max_loss is None:
             return None
-        now_ms = self.clock.now_ms()
-        cells = sorted(
-            name
-            for name, zones in self.peers.book.other_cells.items()
-            if any(self._is_open(zone, now_ms) for zone in zones)
-        )
+        cells = self.open_cells(self.clock.now_ms())
         for _ in range(_MAX_OFFERS):
             cell = self.peers.directory.choose(
                 service, cells, self.clock.now_ms(), self.rng
@@ -107,6 +102,14 @@
                 return chosen
         return None
 
+    def open_cells(self, now_ms: float) -> list[str]:
+        """Returns the names of the other cells that are not evacuated."""
+        return sorted(
+            name
+            for name, zones in self.peers.book.other_cells.items()
+            if any(self._is_open(zone, now_ms) for zone in zones)
+        )
+
     def _is_open(self, zone: str, now_ms: float) -> bool:
         """Returns whether no evacuation of a zone is in force."""
         access = self.platform_state.evacuations.access(zone, now_ms)
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -456,7 +456,7 @@
     def _run_attempt(
         self, request: _job.AdmittedRequest, progress: _job.Progress
     ) -> None:
-        now_ms = self._check_deadline(request)
+        now_ms = self.check_deadline(request)
         self.guard.check(request, progress)
         attempt_id = f"{self.peers.incarnation:x}.{next(self._ids)}"
         progress.attempt_id = attempt_id
@@ -479,7 +479,7 @@
             )
             self.permits.check_before_send(attempt_id, endpoint, chosen.helpers)
             self.guard.check(request, progress)
-            self._check_deadline(request)
+            self.check_deadline(request)
             recorder = self._make_recorder(request, progress, chosen)
             progress.attempts_sent += 1
             self.crash_watch.start(attempt_id, request, chosen)
@@ -511,7 +511,7 @@
         )
         return left >= 1.0
 
-    def _check_deadline(self, request: _job.AdmittedRequest) -> float:
+    def check_deadline(self, request: _job.AdmittedRequest) -> float:
         """Returns the current instant, if time is left for an attempt.
 
         Raises:
--- a/packages/hollycart/src/hollycart/gateway/_share_guard.py
+++ b/packages/hollycart/src/hollycart/gateway/_share_guard.py
@@ -1,5 +1,7 @@
 """Refuses late prompts of teams that exceed their share of scarce capacity."""
 
+import copy
+
 from hollycart import observe
 from hollycart.gateway import _job
 from hollycart.gateway import _peers
@@ -48,6 +50,19 @@
         self._return_times = placement.ReturnTimes()
         self._longest_timeouts_ms: dict[str, float] = {}
 
+    def preview(self) -> "ShareGuard":
+        """Returns a guard that decides as this one, without effects on it."""
+        guard = ShareGuard(
+            self.peers,
+            self.platform_state,
+            observe.Metrics(),
+            self.clock,
+            self.policy,
+        )
+        guard._return_times = copy.copy(self._return_times)
+        guard._longest_timeouts_ms = dict(self._longest_timeouts_ms)
+        return guard
+
     def team_of(self, request: _job.AdmittedRequest) -> str:
         """Returns the team that shares capacity; empty if teams do not."""
         if not self.policy.fair_shares or request.team is None:
