Tell where a request would be sent, without sending it

The log tells what was decided only for requests that came. An instance now answers GET /where on its metrics address: route, service, refusal or placement, offers to other cells, and the endpoints of the service with what excludes them. The decision is that of the chooser, the guards and admission, on stand-ins for what has effects.

--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -13,6 +13,7 @@
 from hollycart.gateway import _registration
 from hollycart.gateway import _settings
 from hollycart.gateway import _state
+from hollycart.gateway import _where_page
 from hollycart_core import base
 from hollycart_core import connections
 from hollycart_core import kv
@@ -146,6 +147,7 @@
         )
         self._loop_watch = base.LoopWatch(clock, self._record_loop_delay)
         self._metrics_page: observe.MetricsPage | None = None
+        self._where_page = _where_page.WherePage(self.forwarder)
         self._metrics_server = connections.HttpExchangeServer(
             f"{cfg.ip}:{cfg.metrics_port}", self._serve_metrics, clock
         )
@@ -319,6 +321,9 @@
             exchange.respond(200, (), state)
 
     def _serve_metrics(self, exchange: connections.Exchange) -> None:
+        if _where_page.is_query(exchange.head):
+            self._where_page.serve(exchange)
+            return
         if self._metrics_page is None:
             self._metrics_page = observe.MetricsPage(self.metrics, self.gauges)
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
