Add the command hollycartctl where

It prints what an instance answers, as text or JSON. Exit code 2 for an unknown host or path, 4 if the instance does not answer the query.

--- a/packages/hollycartctl/src/hollycartctl/diagnosis/__init__.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/__init__.py
@@ -8,6 +8,7 @@
 from hollycartctl.diagnosis._summary import FirstEvents
 from hollycartctl.diagnosis._summary import Summary
 from hollycartctl.diagnosis._summary import summarize
+from hollycartctl.diagnosis._where import format_where
 
 __all__ = [
     "Explanation",
@@ -15,6 +16,7 @@
     "LogLine",
     "Summary",
     "explain",
+    "format_where",
     "read_lines",
     "render_report",
     "summarize",
--- a/packages/hollycartctl/src/hollycartctl/main.py
+++ b/packages/hollycartctl/src/hollycartctl/main.py
@@ -1,9 +1,9 @@
 """The `hollycartctl` command.
 
 Exit codes: 0 success, 2 invalid input or usage, 3 version conflict, 4 the
-platform does not answer and nothing was changed, 5 it is not known whether
-the change was accepted, 6 the change was accepted but no instance could be
-notified.
+platform or the instance does not answer and nothing was changed, 5 it is not
+known whether the change was accepted, 6 the change was accepted but no instance
+could be notified.
 """
 
 from collections.abc import Sequence
@@ -18,6 +18,7 @@
 import msgspec
 
 from hollycart_core import base
+from hollycart_core import dry_run
 from hollycart_core import orders
 from hollycartctl import diagnosis
 from hollycartctl import operations
@@ -32,6 +33,7 @@
     base.VersionConflictError: EXIT_CONFLICT,
     base.KvUnavailableError: EXIT_UNAVAILABLE,
     base.KvAnswerLostError: EXIT_UNKNOWN,
+    base.PeerUnreachableError: EXIT_UNAVAILABLE,
 }
 
 
@@ -94,6 +96,50 @@
     sys.stdout.write(f"cause: {found.cause}: {found.summary}\n")
 
 
+def where(
+    address: str,
+    host: str,
+    path: str,
+    *,
+    method: str = "POST",
+    team: str = "",
+    prompt_tokens: int = 0,
+    output_tokens: int = 0,
+    timeout_ms: float | None = None,
+    request_id: str = "",
+    json: bool = False,
+) -> None:
+    """Asks an instance where a request would be sent now, without sending it.
+
+    Args:
+        address: `IP:PORT` of the instance's metrics page.
+        host: Host name that the request is addressed to.
+        path: Path of the request.
+        method: HTTP method.
+        team: Name of the team; any team with a valid key by default.
+        prompt_tokens: Length of the prompt, in tokens.
+        output_tokens: Expected length of the answer, in tokens.
+        timeout_ms: Time for which the caller waits, in ms.
+        request_id: Id of the request, for routes with several services.
+        json: Print JSON.
+    """
+    query = dry_run.Query(
+        host,
+        path,
+        method,
+        team,
+        prompt_tokens,
+        output_tokens,
+        timeout_ms,
+        request_id,
+    )
+    answer = operations.ask_where(address, query)
+    if json:
+        _print_json(answer)
+    else:
+        sys.stdout.write(diagnosis.format_where(answer))
+
+
 def report(
     out: pathlib.Path,
     *files: pathlib.Path,
@@ -266,6 +312,7 @@
         "targets": targets,
         "drain": drain,
         "explain": explain,
+        "where": where,
         "report": report,
     }
     try:
