--- a/packages/hollycart-core/src/hollycart_core/placement/_placer.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_placer.py
@@ -140,6 +140,22 @@
                 count += 1
         return count
 
+    def count_slots(
+        self, endpoints: Iterable[_types.Endpoint]
+    ) -> tuple[int, int]:
+        """Returns the free slots of endpoints, and all of their slots.
+
+        Endpoints with a prefill count as well: most prefills end sooner than a
+        summary of the slots is renewed.
+        """
+        free = total = 0
+        for endpoint in endpoints:
+            total += endpoint.slots
+            assigned = self.view.on_endpoint(endpoint.id)
+            used = sum(a.primary for a in assigned)
+            free += max(0, endpoint.slots - used)
+        return free, total
+
     def expected_decode_step_ms(
         self, endpoint: str, model: _engine_model.EngineModel
     ) -> float | None:
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -8,6 +8,7 @@
 from hollycart.gateway import _job
 from hollycart.gateway import _permits
 from hollycart.gateway import _share_guard
+from hollycart.gateway import _spill
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import placement
@@ -36,6 +37,7 @@
         zone: Availability zone of this instance.
         share_guard: Refuses late prompts of teams that exceed their share; None
             if teams do not share capacity.
+        spill: Decides what leaves the zone, where that is asked for.
 
     Attributes:
         in_flight: Attempts of this instance in flight, by endpoint.
@@ -52,6 +54,7 @@
         delegator: _delegator.Delegator,
         zone: str,
         share_guard: _share_guard.ShareGuard | None = None,
+        spill: _spill.ZoneSpillControl | None = None,
     ) -> None:
         self.platform_state = platform_state
         self.placer = placer
@@ -62,6 +65,7 @@
         self.delegator = delegator
         self.share_guard = share_guard
         self.zone = zone
+        self.spill = spill
         self.in_flight: collections.Counter[str] = collections.Counter()
         self._models: dict[routing.EngineParameters, placement.EngineModel] = {}
 
@@ -91,12 +95,8 @@
             if progress.is_isolated:
                 idle = [e for e in candidates if not self.in_flight[e.id]]
                 candidates = idle or candidates
-            endpoint = placement.least_busy(
-                candidates,
-                self.in_flight,
-                self.zone,
-                self.permits.notices.cold_ids(candidates, now_ms),
-            )
+            cold = self.permits.notices.cold_ids(candidates, now_ms)
+            endpoint = self._choose_plain(candidates, cold, now_ms)
             assert endpoint is not None
             return placement.Placement(endpoint, (), (), 0.0, 0.0)
         model = self.model(service.engine)
@@ -119,6 +119,7 @@
                     prompt,
                     progress.excluded,
                     own,
+                    len(request.exchange.body),
                 )
                 or own
             )
@@ -154,6 +155,8 @@
             )
         if self.share_guard and not self.delegator.holds(attempt_id):
             self.share_guard.check(request, progress, prompt, chosen, model)
+        if chosen is own:
+            self.record_placement(service.name, prompt, chosen)
         return chosen
 
     def preview(
@@ -174,6 +177,31 @@
             request.service, prompt, progress.excluded, now_ms
         )
 
+    def _choose_plain(
+        self,
+        candidates: list[placement.Endpoint],
+        cold: frozenset[str],
+        now_ms: float,
+    ) -> placement.Endpoint | None:
+        if self.spill is None or not self.spill.in_force:
+            return placement.least_busy(
+                candidates, self.in_flight, self.zone, cold
+            )
+        warm = [e for e in candidates if e.id not in cold]
+        return self.spill.choose_plain(
+            warm or candidates, self.in_flight, now_ms
+        )
+
+    def record_placement(
+        self,
+        service: str,
+        prompt: placement.Prompt,
+        chosen: placement.Placement,
+    ) -> None:
+        """Records the placement of a prompt in the own cell."""
+        if self.spill is not None:
+            self.spill.record_placement(service, prompt, chosen)
+
     def place_in_cell(
         self,
         service: routing.Service,
@@ -264,6 +292,34 @@
             if service.engine is not None
         }
 
+    def rooms(self, now_ms: float) -> dict[str, placement.ServiceRoom]:
+        """Returns the room of the own cell for prompts, by service.
+
+        Endpoints that get requests at a limited rate only are not counted: no
+        prompts should come from other cells for them.
+        """
+        cfg = self.platform_state.config
+        if cfg is None or self.spill is None or not self.spill.in_force:
+            return {}
+        found = {}
+        for name, service in cfg.services.items():
+            if service.engine is None:
+                continue
+            accepting = [
+                e
+                for e in self._accepting(name, now_ms)
+                if self.book.is_in_cell(e.zone)
+                and self.health.usable(e.id, now_ms)
+            ]
+            limited = self._primary_only(accepting, now_ms)
+            found[name] = placement.ServiceRoom(
+                *self.placer.count_slots(
+                    e for e in accepting if e.id not in limited
+                ),
+                self.spill.mean_loss(name, now_ms),
+            )
+        return found
+
     def _busy_endpoints(self, service: str) -> set[str]:
         """Returns the ids of the endpoints that run prompts."""
         view = self.placer.view
@@ -293,7 +349,7 @@
             request.deadline_ms - decode_ms,
             last_activity_ms + request.route.abandon_after_ms,
         )
-        return placement.Prompt(
+        prompt = placement.Prompt(
             attempt_id,
             request.meta.prompt_tokens,
             request.meta.output_tokens,
@@ -304,6 +360,11 @@
             request.service.engine.usual_prompt_tokens,
             self.share_guard.team_of(request) if self.share_guard else "",
         )
+        if self.spill is None:
+            return prompt
+        return self.spill.with_crossing_losses(
+            request.service.name, prompt, len(request.exchange.body)
+        )
 
     def model(
         self, parameters: routing.EngineParameters
@@ -352,6 +413,10 @@
     ) -> placement.ZoneAccess:
         return self.platform_state.evacuations.access(endpoint.zone, now_ms)
 
+    def cold_ids(self, service: str, now_ms: float) -> frozenset[str]:
+        """Returns the ids of a service's endpoints that are cold."""
+        return self.permits.notices.cold_ids(self._listed(service), now_ms)
+
     def _listed(self, service: str) -> list[placement.Endpoint]:
         return [
             e
@@ -363,11 +428,17 @@
         self, service: str, now_ms: float, last_resort: bool = False
     ) -> list[placement.Endpoint]:
         allowed = (_OPEN, _LAST_RESORT) if last_resort else (_OPEN,)
+        evacuations = self.platform_state.evacuations
+        closed = {
+            zone
+            for zone in evacuations.in_force()
+            if evacuations.access(zone, now_ms) not in allowed
+        }
         return [
             e
             for e in self.platform_state.endpoints.values()
             if e.service == service
-            and self._access(e, now_ms) in allowed
+            and e.zone not in closed
             and self.restrictions.accepts(e, now_ms)
             and self.permits.wait_ms(e, now_ms) == 0.0
         ]
--- a/packages/hollycart/src/hollycart/gateway/_cold.py
+++ b/packages/hollycart/src/hollycart/gateway/_cold.py
@@ -13,6 +13,10 @@
 from hollycart_core import placement
 from hollycart_core import routing
 
+# Time after a change of the cell, a start or a pause for which another instance
+# may still have the same duties, in ms: until all agree on one.
+_AGREEMENT_MS = 4000.0
+
 
 class ColdEngines:
     """Follows which endpoints are cold, and says how many requests they get.
@@ -48,6 +52,8 @@
         self._cold = placement.ColdEndpoints()
         self._services: dict[str, routing.Service] = {}
         self._followed: Any = None
+        self._staying: frozenset[str] = frozenset()
+        self._changed_ms = float("-inf")
 
     def subscribe(self) -> None:
         """Sets the handlers of announcements and of new instances."""
@@ -59,6 +65,14 @@
             self._send_all(ip)
 
         self.peers.on_new_peer = handle_new_peer
+        on_heartbeat = self.peers.on_heartbeat
+
+        def handle_heartbeat() -> None:
+            on_heartbeat()
+            if self._services:
+                self._watch_cell()
+
+        self.peers.on_heartbeat = handle_heartbeat
 
     def follow_state(self) -> None:
         """Takes over the state in force if it is another one than before.
@@ -135,7 +149,9 @@
         self, endpoint: placement.Endpoint, now_ms: float
     ) -> placement.ColdRate | None:
         """Returns how many requests an endpoint may get; None if it is warm."""
-        if not self.is_cold(endpoint, now_ms):
+        self.follow_state()
+        # Asked for each endpoint of a service for each request.
+        if not self._services or not self.is_cold(endpoint, now_ms):
             return None
         return self._rate(self._services[endpoint.service].cold_per_s)
 
@@ -174,11 +190,15 @@
         """Returns whether another instance may have the same duty.
 
         It may if it precedes this one in the order of rendezvous hashing and is
-        registered, but not heard: others may hear it.
+        registered, but not heard: others may hear it. It also may for some
+        seconds after a change of the cell.
 
         Args:
             key: Key of the duty.
         """
+        self._watch_cell()
+        if self.clock.now_ms() - self._changed_ms < _AGREEMENT_MS:
+            return True
         live = self.peers.live()
         ranked = base.rendezvous_rank(key, self._registered() | set(live))
         preceding = ranked[: ranked.index(self.peers.name)]
@@ -188,6 +208,14 @@
         """Returns the number of listed endpoints that are cold."""
         return len(self.cold_ids(self._listed(), now_ms))
 
+    def _watch_cell(self) -> None:
+        """Records when the instances that share the duties last changed."""
+        now_ms = self.clock.now_ms()
+        staying = frozenset(self.peers.staying())
+        if staying != self._staying or not self.peers.is_settled(now_ms):
+            self._staying = staying
+            self._changed_ms = now_ms
+
     def _rate(self, cold_per_s: float) -> placement.ColdRate:
         policy = self.policy()
         snapshot = self.platform_state.snapshot
@@ -195,9 +223,14 @@
         instances = max(
             self.peers.book.size() + 1, len(snapshot.peers) if snapshot else 0
         )
-        return placement.cold_rate(
+        rate = placement.cold_rate(
             cold_per_s, policy.cold_overage, policy.cold_slack, instances
         )
+        # After a start the other instances may not be known yet, so that the
+        # share would be too large.
+        if not self.peers.is_settled(self.clock.now_ms()):
+            rate = rate._replace(share=0)
+        return rate
 
     def _registered(self) -> set[str]:
         """Returns the names of the registered instances of the cell."""
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -7,6 +7,7 @@
 from hollycart.gateway import _address_book
 from hollycart.gateway import _codec
 from hollycart.gateway import _forwarder
+from hollycart.gateway import _memory
 from hollycart.gateway import _peers
 from hollycart.gateway import _read_times
 from hollycart.gateway import _reader
@@ -136,8 +137,12 @@
             self.rng,
         )
         self.reader.on_store_restored = self._registration.handle_restored_store
+        self.memory = _memory.make_gate(cfg.policy, clock)
         self.front_server = connections.HttpExchangeServer(
-            cfg.front_address, self.forwarder.handle, clock
+            cfg.front_address,
+            self.forwarder.handle,
+            clock,
+            memory=self.memory,
         )
         self._ready_server = connections.HttpExchangeServer(
             cfg.ready_address, self._serve_readiness, clock
@@ -234,6 +239,8 @@
         )
         self.reader.schedule = _read_schedule(cfg)
         self.forwarder.apply_policy(self.cfg.policy)
+        if self.memory is not None:
+            _memory.apply_bounds(self.memory.budget, self.cfg.policy)
         budget = self.forwarder.budget
         budget.ratio = cfg.retry_ratio
         budget.window_ms = cfg.retry_window_ms
@@ -276,6 +283,7 @@
         self.forwarder.health.follow_incarnations(
             self.platform_state.endpoints.values()
         )
+        self.forwarder.spill.retain_endpoints(self.platform_state.endpoints)
         if not self._announced and self.platform_state.endpoints:
             # Peers reply to the first heartbeat with theirs.
             self._announced = True
@@ -374,6 +382,10 @@
             "store_reads_failed": float(self.reader.reads_failed),
             "log_lines_dropped": float(self.log.dropped),
         }
+        if self.memory is not None:
+            held_bytes = self.memory.budget.held_bytes
+            values["buffered_bytes"] = float(held_bytes)
+            values["buffered_responses"] = float(self.memory.buffered_responses)
         if cfg is not None:
             values["state_age_ms"] = self.platform_state.freshness.age_ms(
                 now_ms
--- a/packages/hollycart/src/hollycart/observe/decisions/__init__.py
+++ b/packages/hollycart/src/hollycart/observe/decisions/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from hollycart.observe.decisions._base import Decision
+from hollycart.observe.decisions._buffers import ResponseShed
 from hollycart.observe.decisions._cold import EndpointCold
 from hollycart.observe.decisions._crashes import EngineCrashed
 from hollycart.observe.decisions._crashes import Quarantined
@@ -41,6 +42,7 @@
 from hollycart.observe.decisions._requests import Placed
 from hollycart.observe.decisions._requests import PlacedAgain
 from hollycart.observe.decisions._requests import Repeated
+from hollycart.observe.decisions._spill import SpillTerms
 from hollycart.observe.decisions._state import CellChanged
 from hollycart.observe.decisions._state import FreshnessLost
 from hollycart.observe.decisions._state import FreshnessRegained
@@ -60,6 +62,7 @@
     Failed,
     CallerLeft,
     ForeignAnswer,
+    ResponseShed,
     StateLearned,
     EndpointUnreachable,
     EngineCrashed,
@@ -134,6 +137,8 @@
     "Rejoined",
     "Reloaded",
     "Repeated",
+    "SpillTerms",
+    "ResponseShed",
     "Started",
     "StateLearned",
     "Stopped",
