Decide in dry runs what leaves the zone

The decision by gain and cost has come in between. A dry run takes it on copies of what it changes: the share that may leave, recent losses, the turn of plain services and the source of randomness, so that the answer is that of the next request.

--- a/packages/hollycart-core/src/hollycart_core/dry_run/_types.py
+++ b/packages/hollycart-core/src/hollycart_core/dry_run/_types.py
@@ -114,12 +114,15 @@
             prompt like this is offered.
         own_loss: Loss of that placement; None if there is none.
         cells: Names of the other cells that may be asked.
+        weighs_gain: Whether a prompt with such a loss is offered only if the
+            gain also exceeds the cost.
     """
 
     is_made: bool
     from_loss: float
     own_loss: float | None
     cells: list[str]
+    weighs_gain: bool = False
 
 
 class Candidate(msgspec.Struct):
--- a/packages/hollycart-core/src/hollycart_core/placement/_zone_spill.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/_zone_spill.py
@@ -1,6 +1,7 @@
 """When a prompt leaves its cell, by gain and cost."""
 
 from collections.abc import Iterable
+import copy
 import math
 import random
 from typing import NamedTuple
@@ -164,6 +165,15 @@
             return chosen._replace(max_loss=math.inf)
         return chosen
 
+    def preview(self) -> "ZoneSpill":
+        """Returns an object that decides as this one, without effects on it.
+
+        Only what `decide` changes is copied.
+        """
+        preview = copy.copy(self)
+        preview._share = copy.deepcopy(self._share)
+        return preview
+
     def is_served_well(
         self,
         prompt: _types.Prompt,
--- a/packages/hollycart/src/hollycart/gateway/_previews.py
+++ b/packages/hollycart/src/hollycart/gateway/_previews.py
@@ -8,6 +8,7 @@
 from hollycart.gateway import _chooser
 from hollycart.gateway import _delegator
 from hollycart.gateway import _permits
+from hollycart.gateway import _spill
 from hollycart_core import placement
 
 _SEED = 0  # nothing random is decided by the stand-ins
@@ -57,14 +58,19 @@
 
     Args:
         delegator: Offers prompts to other cells.
+        spill: Decides by gain and cost where that is asked for; a preview.
 
     Attributes:
-        own: Best placement in the own cell of the prompt that the other cells
-            might have been asked about; None if there is none.
-        was_asked: Whether it was for the other cells to be asked.
+        own: Best placement of the prompt in the own cell; None if there is
+            none.
+        is_made: Whether the prompt would be offered.
     """
 
-    def __init__(self, delegator: _delegator.Delegator) -> None:
+    def __init__(
+        self,
+        delegator: _delegator.Delegator,
+        spill: _spill.ZoneSpillControl | None,
+    ) -> None:
         super().__init__(
             delegator.peers,
             delegator.platform_state,
@@ -73,9 +79,21 @@
             delegator.log,
             delegator.clock,
             random.Random(_SEED),
+            spill,
         )
         self.own: placement.Placement | None = None
-        self.was_asked = False
+        self.is_made = False
+
+    @property
+    def weighs_gain(self) -> bool:
+        """Whether gain and cost decide, instead of fixed thresholds."""
+        return self.spill is not None and self.spill.in_force
+
+    def min_loss(self, prompt: placement.Prompt) -> float:
+        """Returns the loss in the own cell from which others are considered."""
+        if self.spill is not None and self.spill.in_force:
+            return self.spill.min_offer_loss(prompt)
+        return placement.min_offer_loss(prompt)
 
     def offer(
         self,
@@ -84,10 +102,21 @@
         prompt: placement.Prompt,
         excluded: Collection[str],
         own: placement.Placement | None,
+        body_bytes: int = 0,
     ) -> placement.Placement | None:
-        """Keeps the placement in the own cell; returns None."""
-        del request_id, service, prompt, excluded
-        self.own, self.was_asked = own, True
+        """Keeps whether the prompt would be offered; returns None."""
+        del request_id, excluded
+        self.own = own
+        if self.spill is not None and self.spill.in_force:
+            cells = sorted(self.peers.book.other_cells)
+            self.is_made = (
+                self.spill.decide(service, prompt, own, cells, body_bytes)
+                is not None
+            )
+        else:
+            max_loss = placement.max_remote_loss(prompt, own)
+            cells = self.open_cells(self.clock.now_ms())
+            self.is_made = max_loss is not None and bool(cells)
         return None
 
 
@@ -100,6 +129,7 @@
     preview = copy.copy(chooser)
     preview.permits = permits
     preview.delegator = offers
+    preview.spill = offers.spill
     if chooser.share_guard is not None:
         preview.share_guard = chooser.share_guard.preview()
     return preview
--- a/packages/hollycart/src/hollycart/gateway/_spill.py
+++ b/packages/hollycart/src/hollycart/gateway/_spill.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import copy
 import random
 
 from hollycart import observe
@@ -67,6 +68,23 @@
         )
         return asked_for and bool(self.peers.book.other_cells)
 
+    def preview(self) -> "ZoneSpillControl":
+        """Returns a control that decides as this one, without effects on it.
+
+        The next decision is the same, as far as chance takes part in it.
+        """
+        preview = copy.copy(self)
+        preview.metrics = observe.Metrics()
+        preview.rng = copy.copy(self.rng)
+        preview._spill = self._spill.preview()
+        preview._losses = copy.deepcopy(self._losses)
+        preview._rotation = copy.deepcopy(self._rotation)
+        return preview
+
+    def min_offer_loss(self, prompt: placement.Prompt) -> float:
+        """Returns the loss in the own cell from which others are weighed."""
+        return self._spill.error(self.clock.now_ms()) * prompt.weight
+
     def decide(
         self,
         service: str,
--- a/packages/hollycart/src/hollycart/gateway/_where.py
+++ b/packages/hollycart/src/hollycart/gateway/_where.py
@@ -129,7 +129,9 @@
         self.answer = answer
         self.now_ms = now_ms
         self.permits = _previews.PermitPreview(forwarder.permits)
-        self.offers = _previews.OfferPreview(forwarder.delegator)
+        self.offers = _previews.OfferPreview(
+            forwarder.delegator, forwarder.spill.preview()
+        )
         self.chooser = _previews.preview_chooser(
             forwarder.chooser, self.permits, self.offers
         )
@@ -183,17 +185,13 @@
         prompt = self._make_prompt(request)
         if prompt is None or not self.forwarder.peers.book.other_cells:
             return
-        own, cells = self.offers.own, self.offers.open_cells(self.now_ms)
-        is_made = (
-            self.offers.was_asked
-            and placement.max_remote_loss(prompt, own) is not None
-            and bool(cells)
-        )
+        own = self.offers.own
         self.answer.offer = dry_run.Offer(
-            is_made,
-            round(placement.min_offer_loss(prompt), 3),
+            self.offers.is_made,
+            round(self.offers.min_loss(prompt), 3),
             round(own.predicted_loss, 3) if own else None,
-            cells,
+            self.offers.open_cells(self.now_ms),
+            self.offers.weighs_gain,
         )
 
     def describe_candidates(self, request: _job.AdmittedRequest) -> None:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_where.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_where.py
@@ -408,6 +408,38 @@
     assert site.send()[2].endpoint.zone != "a"
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_decision_to_leave_the_zone_agrees(site, seed):
+    """Guards against a preview that uses up what may leave the zone."""
+    rng = random.Random(seed)
+    cells = (frozenset("a"), frozenset("b"), frozenset("c"))
+    for instance in site.instances:
+        instance.peers.set_cells(cells)
+        instance.forwarder.apply_policy(
+            gateway.PolicySettings(
+                cold_overage=1.5, cold_slack=5.0, tolerated_zones=1
+            )
+        )
+    site.advance(2100.0)
+    count, ready_in_ms = rng.choice([4, 8, 12]), rng.uniform(10.0, 2000.0)
+    for e in site.endpoints:
+        if e.zone == "a":
+            site.load(e, count, ready_in_ms)
+    counters = site.forwarder.metrics.counters
+    for _ in range(6):
+        tokens = rng.choice([0, TOKENS, 30_000])
+        answer = site.ask("/stream/", tokens)
+        before = counters.copy()
+        site.send("/stream/", tokens)
+        offered = [k for k in counters - before if k.startswith("spill_off")]
+        if tokens:
+            assert answer.offer.weighs_gain
+            assert answer.offer.is_made == bool(offered)
+        if not offered:
+            chosen = site.relay.chosen[-1]
+            assert answer.chosen.endpoint == chosen.endpoint.id
+
+
 def test_needed_permit_is_named_and_not_taken(site):
     for e in site.endpoints:
         now_ms = site.clock.now_ms()
--- a/packages/hollycartctl/src/hollycartctl/diagnosis/_where.py
+++ b/packages/hollycartctl/src/hollycartctl/diagnosis/_where.py
@@ -53,7 +53,8 @@
         lines.append(
             f"offered to other cells ({', '.join(offer.cells) or 'none open'}) "
             f"first: {'yes' if offer.is_made else 'no'}, from a loss of "
-            f"{offer.from_loss:.3f}, the own cell has {own}"
+            f"{offer.from_loss:.3f}{' if the gain pays' * offer.weighs_gain}"
+            f", the own cell has {own}"
         )
     return lines
 
