--- a/packages/hollycart-bench/src/hollycart_bench/commands.py
+++ b/packages/hollycart-bench/src/hollycart_bench/commands.py
@@ -169,6 +169,17 @@
     return 0
 
 
+def compare_cuts(*, seeds: int = 20) -> int:
+    """Compares what instances do while they are cut off from each other.
+
+    Args:
+        seeds: Number of seeds.
+    """
+    results = experiment.compare_cuts(range(1, seeds + 1))
+    sys.stdout.write(experiment.format_cuts(results) + "\n")
+    return 0
+
+
 def measure(
     *,
     quick: bool = False,
@@ -269,6 +280,7 @@
                 slow_readers,
                 compare,
                 zones,
+                compare_cuts,
                 measure,
                 recover,
                 cell,
--- a/packages/hollycart-bench/src/hollycart_bench/experiment/__init__.py
+++ b/packages/hollycart-bench/src/hollycart_bench/experiment/__init__.py
@@ -1,5 +1,8 @@
 """Simulated grids of placement schemes, loads and seeds."""
 
+from hollycart_bench.experiment._cut import CutResult
+from hollycart_bench.experiment._cut import compare_cuts
+from hollycart_bench.experiment._cut import format_cuts
 from hollycart_bench.experiment._grid import Cell
 from hollycart_bench.experiment._grid import Grid
 from hollycart_bench.experiment._grid import run_grid
@@ -12,11 +15,14 @@
 
 __all__ = [
     "Cell",
+    "CutResult",
     "Difference",
     "Grid",
     "ZoneRun",
     "compare",
     "format_zones",
+    "compare_cuts",
+    "format_cuts",
     "run_grid",
     "run_zones",
     "write_report",
--- a/packages/hollycart-core/src/hollycart_core/placement/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/placement/__init__.py
@@ -18,6 +18,7 @@
 from hollycart_core.placement._evacuations import ZoneEvacuation
 from hollycart_core.placement._evacuations import ZoneEvacuations
 from hollycart_core.placement._health import EndpointHealth
+from hollycart_core.placement._isolation import HEARD_MS
 from hollycart_core.placement._isolation import MISSING_MS
 from hollycart_core.placement._isolation import CellContact
 from hollycart_core.placement._isolation import HeardInstance
@@ -29,6 +30,7 @@
 from hollycart_core.placement._load_queries import unaccounted_load
 from hollycart_core.placement._load_view import LoadView
 from hollycart_core.placement._offers import max_remote_loss
+from hollycart_core.placement._offers import min_offer_loss
 from hollycart_core.placement._placer import Placer
 from hollycart_core.placement._rate_limits import EndpointRateLimits
 from hollycart_core.placement._rate_limits import RateStatement
@@ -72,6 +74,7 @@
     "EndpointRateLimits",
     "EndpointRestrictions",
     "EngineModel",
+    "HEARD_MS",
     "HeardInstance",
     "HomeState",
     "Isolation",
@@ -106,6 +109,7 @@
     "group_zones",
     "least_busy",
     "max_remote_loss",
+    "min_offer_loss",
     "measure_usage",
     "needs_confirmation",
     "needs_queries",
