Find the candidates apart from choosing among them

Candidates tells which endpoints of a service accept requests, which get whole prompts only, and why none is left; the chooser keeps the choice. The chooser of a dry run gets candidates of its own, which see its permits as before.

A test of dry runs asks for the accepting endpoints where they are now; its assertions are unchanged.

--- a/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt_placer.py
@@ -114,7 +114,7 @@
                 is_cold
                 and self.clock.now_ms() - started_ms > _MAX_COLD_QUERY_MS
             ):
-                progress.excluded |= self.chooser.cold_ids(
+                progress.excluded |= self.chooser.candidates.cold_ids(
                     request.service.name, self.clock.now_ms()
                 )
         raise base.OverloadedError(
--- a/packages/hollycart/src/hollycart/gateway/_chooser.py
+++ b/packages/hollycart/src/hollycart/gateway/_chooser.py
@@ -3,6 +3,7 @@
 import collections
 
 from hollycart.gateway import _address_book
+from hollycart.gateway import _candidates
 from hollycart.gateway import _delegator
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
@@ -18,9 +19,7 @@
 # of the answers are shorter than expected, some much shorter.
 _RESERVED_DECODE_SHARE = 0.5
 
-_OPEN = placement.ZoneAccess.OPEN
 _LAST_RESORT = placement.ZoneAccess.LAST_RESORT
-_CLOSED = placement.ZoneAccess.CLOSED
 
 
 class EndpointChooser:
@@ -41,6 +40,7 @@
 
     Attributes:
         in_flight: Attempts of this instance in flight, by endpoint.
+        candidates: Finds the endpoints to choose among.
     """
 
     def __init__(
@@ -67,6 +67,9 @@
         self.zone = zone
         self.spill = spill
         self.in_flight: collections.Counter[str] = collections.Counter()
+        self.candidates = _candidates.Candidates(
+            platform_state, health, restrictions, permits
+        )
         self._models: dict[routing.EngineParameters, placement.EngineModel] = {}
 
     def choose(
@@ -89,7 +92,7 @@
         """
         service = request.service
         if service.engine is None or not request.meta.prompt_tokens:
-            candidates = self._candidates(
+            candidates = self.candidates.find(
                 service.name, progress.excluded, now_ms
             )
             if progress.is_isolated:
@@ -127,7 +130,7 @@
             service, prompt, progress.excluded, chosen, now_ms
         )
         if chosen is None:
-            candidates = self._candidates(
+            candidates = self.candidates.find(
                 service.name, progress.excluded, now_ms
             )
             # The endpoints of other cells are used without knowing their load
@@ -138,7 +141,7 @@
                     model,
                     candidates,
                     now_ms,
-                    self._primary_only(candidates, now_ms),
+                    self.candidates.primary_only(candidates, now_ms),
                 )
         if chosen is None:
             raise _failures.MemoryUnavailableError(
@@ -222,7 +225,9 @@
         assert service.engine is not None
         usable = [
             e
-            for e in self._accepting(service.name, now_ms, last_resort)
+            for e in self.candidates.accepting(
+                service.name, now_ms, last_resort
+            )
             if e.id not in excluded and self.book.is_in_cell(e.zone)
         ]
         healthy = [e for e in usable if self.health.usable(e.id, now_ms)]
@@ -232,7 +237,7 @@
             self.model(service.engine),
             candidates,
             now_ms,
-            self._primary_only(candidates, now_ms),
+            self.candidates.primary_only(candidates, now_ms),
         )
 
     def _avoid_lateness(
@@ -282,7 +287,7 @@
             name: self.placer.count_open(
                 [
                     e
-                    for e in self._accepting(name, now_ms)
+                    for e in self.candidates.accepting(name, now_ms)
                     if self.book.is_in_cell(e.zone)
                     and not self.permits.notices.is_cold(e, now_ms)
                 ],
@@ -307,11 +312,11 @@
                 continue
             accepting = [
                 e
-                for e in self._accepting(name, now_ms)
+                for e in self.candidates.accepting(name, now_ms)
                 if self.book.is_in_cell(e.zone)
                 and self.health.usable(e.id, now_ms)
             ]
-            limited = self._primary_only(accepting, now_ms)
+            limited = self.candidates.primary_only(accepting, now_ms)
             found[name] = placement.ServiceRoom(
                 *self.placer.count_slots(
                     e for e in accepting if e.id not in limited
@@ -391,102 +396,3 @@
         )
         if expected_ms:
             self.health.record_slowness(endpoint, gap_ms / expected_ms, now_ms)
-
-    def _candidates(
-        self, service: str, excluded: set[str], now_ms: float
-    ) -> list[placement.Endpoint]:
-        accepting = self._accepting(service, now_ms, last_resort=True)
-        usable = [e for e in accepting if e.id not in excluded]
-        if not accepting:
-            self._check_waits(service, now_ms)
-        if not usable:
-            raise base.NoEndpointError(
-                f"no endpoint of service {service} left to try",
-                _failures.RETRY_AFTER_MS,
-            )
-        healthy = [e for e in usable if self.health.usable(e.id, now_ms)]
-        best = healthy or usable
-        return [e for e in best if self._access(e, now_ms) is _OPEN] or best
-
-    def _access(
-        self, endpoint: placement.Endpoint, now_ms: float
-    ) -> placement.ZoneAccess:
-        return self.platform_state.evacuations.access(endpoint.zone, now_ms)
-
-    def cold_ids(self, service: str, now_ms: float) -> frozenset[str]:
-        """Returns the ids of a service's endpoints that are cold."""
-        return self.permits.notices.cold_ids(self._listed(service), now_ms)
-
-    def _listed(self, service: str) -> list[placement.Endpoint]:
-        return [
-            e
-            for e in self.platform_state.endpoints.values()
-            if e.service == service and not self.restrictions.is_leaving(e)
-        ]
-
-    def _accepting(
-        self, service: str, now_ms: float, last_resort: bool = False
-    ) -> list[placement.Endpoint]:
-        allowed = (_OPEN, _LAST_RESORT) if last_resort else (_OPEN,)
-        evacuations = self.platform_state.evacuations
-        closed = {
-            zone
-            for zone in evacuations.in_force()
-            if evacuations.access(zone, now_ms) not in allowed
-        }
-        return [
-            e
-            for e in self.platform_state.endpoints.values()
-            if e.service == service
-            and e.zone not in closed
-            and self.restrictions.accepts(e, now_ms)
-            and self.permits.wait_ms(e, now_ms) == 0.0
-        ]
-
-    def _primary_only(
-        self, endpoints: list[placement.Endpoint], now_ms: float
-    ) -> frozenset[str]:
-        """Returns the endpoints that limit their rate, or are cold.
-
-        They get whole prompts, each with a permit, but no parts of prompts and
-        no reservations, which are requests of their own.
-        """
-        limited = {
-            e.id for e in endpoints if self.permits.limits.find(e) is not None
-        }
-        return self.permits.notices.cold_ids(endpoints, now_ms) | limited
-
-    def _check_waits(self, service: str, now_ms: float) -> None:
-        """Refuses the request if no endpoint of the service accepts any now.
-
-        The load it answers: all engines are full, and ask for a pause or have
-        reached their limits, or their zones are evacuated. A request that
-        waited would only hold its caller.
-        """
-        listed = self._listed(service)
-        if not listed:
-            return
-        zones = {e.zone for e in listed if self._access(e, now_ms) is _CLOSED}
-        listed = [e for e in listed if e.zone not in zones]
-        if not listed:
-            raise _failures.ZonesEvacuatedError(
-                f"all zones with endpoints of service {service} are "
-                f"evacuated: {', '.join(sorted(zones))}",
-                _failures.EVACUATED_RETRY_AFTER_MS,
-            )
-        earliest_ms = min(
-            max(
-                self.restrictions.pause_left_ms(e, now_ms),
-                self.permits.wait_ms(e, now_ms),
-            )
-            for e in listed
-        )
-        retry_after_ms = self.permits.return_after_ms(
-            listed, earliest_ms, now_ms
-        )
-        raise base.OverloadedError(
-            f"all {len(listed)} endpoints of service {service} asked for a "
-            f"pause or have reached their limits, the first accepts requests "
-            f"in {earliest_ms:.0f} ms",
-            max(retry_after_ms, placement.MIN_RETRY_AFTER_MS),
-        )
--- a/packages/hollycart/src/hollycart/gateway/_previews.py
+++ b/packages/hollycart/src/hollycart/gateway/_previews.py
@@ -5,6 +5,7 @@
 import random
 
 from hollycart import observe
+from hollycart.gateway import _candidates
 from hollycart.gateway import _chooser
 from hollycart.gateway import _delegator
 from hollycart.gateway import _permits
@@ -128,6 +129,9 @@
     """Returns a chooser that chooses as another one, without effects on it."""
     preview = copy.copy(chooser)
     preview.permits = permits
+    preview.candidates = _candidates.Candidates(
+        chooser.platform_state, chooser.health, chooser.restrictions, permits
+    )
     preview.delegator = offers
     preview.spill = offers.spill
     if chooser.share_guard is not None:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_where.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_where.py
@@ -240,7 +240,9 @@
     assert not answer.candidates[0].exclusions
     if name in ("paused", "limited", "cold"):
         assert found[e.id].wait_ms > 0.0
-    accepting = site.forwarder.chooser._accepting("svc", site.clock.now_ms())
+    accepting = site.forwarder.chooser.candidates.accepting(
+        "svc", site.clock.now_ms()
+    )
     soft = {"unreachable", "ejected"}
     assert {x.id for x in accepting} == {
         c.endpoint for c in found.values() if set(c.exclusions) <= soft
