Keep runs of crashes apart from the crash history

What compares and counts reports of crashes, and the crashes left without an explanation, is in _crash_runs; the history keeps the records, the thresholds and the search for culprits. The expressions are unchanged.

--- a/packages/hollycart-core/src/hollycart_core/crashes/_crash_history.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/_crash_history.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from hollycart_core.crashes import _answer_log
-from hollycart_core.crashes import _attempt_log
+from hollycart_core.crashes import _crash_runs
 from hollycart_core.crashes import _types
 
 # Crashes one after the other, each by a prompt that was sent after the crash
@@ -37,9 +37,6 @@
 # Time before the first crash of a trait from which crashes count as the
 # latest ones, in ms.
 _LOOKBACK_MS = 30_000.0
-# Crashes that are no further apart are one burst: engines that lose power
-# together, for example.
-_BURST_GAP_MS = 250.0
 _RETENTION_MS = 120_000.0
 # Traits in common that are kept of a culprit, to bound its size.
 _MAX_COMMON_TRAITS = 16
@@ -119,8 +116,8 @@
             Whether something was not known before.
         """
         for number, known in enumerate(self._crashes):
-            if _is_same(known, crash):
-                merged = _merge(known, crash)
+            if _crash_runs.is_same(known, crash):
+                merged = _crash_runs.merge(known, crash)
                 self._crashes[number] = merged
                 return merged.suspects != known.suspects
         self._crashes.append(crash)
@@ -187,14 +184,16 @@
             for c in self._of_service(service)
             if now_ms - c.at_ms >= SETTLE_MS
         ]
-        unexplained = _Unexplained.of(crashes, known)
+        unexplained = _crash_runs.Unexplained.of(crashes, known)
         is_any_answered = self._answers.has_service(service)
         culprits = []
         for trait in self._by_trust(service, unexplained):
             left = unexplained.by(trait)
             run = self._run(trait, left)
-            generations = _count_generations(trait, run)
-            if generations < _MIN_GENERATIONS or _is_one_request(trait, run):
+            generations = _crash_runs.count_generations(trait, run)
+            if generations < _MIN_GENERATIONS or _crash_runs.is_one_request(
+                trait, run
+            ):
                 continue
             common = self._common_traits(trait, run)
             was_answered = self._is_answered(service, trait)
@@ -211,7 +210,7 @@
                 continue
             since_ms = run[0].at_ms - _LOOKBACK_MS
             others = [c for c in left if c.at_ms >= since_ms and c not in run]
-            all_count = generations + _count_bursts(others)
+            all_count = generations + _crash_runs.count_bursts(others)
             if generations < _min_explained_share(trait) * all_count:
                 continue
             culprits.append(
@@ -243,10 +242,12 @@
             The most generations of crashes since the last sound answer, over
             the traits; one less for those that were answered earlier.
         """
-        unexplained = _without(self._of_service(service), known)
+        unexplained = _crash_runs.without(self._of_service(service), known)
         most = 0
         for trait in traits:
-            count = _count_generations(trait, self._run(trait, unexplained))
+            count = _crash_runs.count_generations(
+                trait, self._run(trait, unexplained)
+            )
             if self.last_success_ms(service, trait) is not None:
                 count -= 1
             most = max(most, count)
@@ -264,7 +265,7 @@
             since_ms: Instant before which crashes are left out that count
                 against no segment.
         """
-        found = _without(self._crashes, known)
+        found = _crash_runs.without(self._crashes, known)
         return sorted(
             (
                 c
@@ -280,7 +281,7 @@
         """Returns whether a crash counts against some trait."""
         return any(
             self._counts(trait, crash)
-            for trait in _traits_of(crash)
+            for trait in _crash_runs.traits_of(crash)
             if not segments_only or not _types.is_request_trait(trait)
         )
 
@@ -301,12 +302,14 @@
         run = [
             c
             for c in crashes
-            if _is_suspected(trait, c) and self._counts(trait, c)
+            if _crash_runs.is_suspected(trait, c) and self._counts(trait, c)
         ]
         if not run or not self._is_answered(run[0].service, trait):
             return run
         unanswered = self._repeated_unanswered(trait, crashes)
-        return [c for c in run if unanswered.isdisjoint(_traits_of(c))]
+        return [
+            c for c in run if unanswered.isdisjoint(_crash_runs.traits_of(c))
+        ]
 
     def _is_dispensable(self, service: str, trait: str) -> bool:
         """Returns whether most answers are known to be without a trait."""
@@ -333,7 +336,7 @@
         counts = collections.Counter(
             s
             for crash in crashes
-            for s in _traits_of(crash)
+            for s in _crash_runs.traits_of(crash)
             if not self._is_answered(crash.service, s)
             and (
                 _types.is_request_trait(trait) or not _types.is_request_trait(s)
@@ -356,18 +359,20 @@
             common: Traits that are no rivals.
             run: The crashes.
         """
-        rivals = _traits_of(run[0])
+        rivals = _crash_runs.traits_of(run[0])
         return any(
             not self._is_answered(service, rival)
             and _types.is_request_trait(rival) == _types.is_request_trait(trait)
-            and all(_is_suspected(rival, crash) for crash in run)
+            and all(_crash_runs.is_suspected(rival, crash) for crash in run)
             for rival in rivals.difference(common)
         )
 
     def _is_answered(self, service: str, trait: str) -> bool:
         return self._answers.find(service, trait) is not None
 
-    def _by_trust(self, service: str, unexplained: "_Unexplained") -> list[str]:
+    def _by_trust(
+        self, service: str, unexplained: _crash_runs.Unexplained
+    ) -> list[str]:
         """Returns the suspected traits, the least trusted first."""
         uses: dict[str, int] = {}
         for crash in unexplained.by_segments:
@@ -400,84 +405,6 @@
         return frozenset((trait, *unanswered[: _MAX_COMMON_TRAITS - 1]))
 
 
-class _Unexplained(NamedTuple):
-    """Crashes without an explanation.
-
-    Attributes:
-        by_segments: Crashes that no segment explains.
-        by_any: Crashes that neither a segment nor a whole request explains.
-    """
-
-    by_segments: list[_types.EngineCrash]
-    by_any: list[_types.EngineCrash]
-
-    @classmethod
-    def of(
-        cls, crashes: Collection[_types.EngineCrash], known: Collection[str]
-    ) -> "_Unexplained":
-        """Returns the crashes that known culprits do not explain."""
-        segments = [t for t in known if not _types.is_request_trait(t)]
-        return cls(_without(crashes, segments), _without(crashes, known))
-
-    def by(self, trait: str) -> list[_types.EngineCrash]:
-        """Returns the crashes that may count against a trait."""
-        if _types.is_request_trait(trait):
-            return self.by_any
-        return self.by_segments
-
-    def without(self, trait: str) -> "_Unexplained":
-        """Returns the crashes that a further culprit does not explain."""
-        by_any = _without(self.by_any, (trait,))
-        if _types.is_request_trait(trait):
-            return self._replace(by_any=by_any)
-        return _Unexplained(_without(self.by_segments, (trait,)), by_any)
-
-
-def _is_same(crash: _types.EngineCrash, other: _types.EngineCrash) -> bool:
-    """Returns whether two reports are of one crash.
-
-    An incarnation crashes once. Without a known start, an endpoint may have
-    started again under its id.
-    """
-    return (
-        crash.endpoint == other.endpoint
-        and crash.born_ms == other.born_ms
-        and (
-            crash.born_ms != 0
-            or abs(crash.at_ms - other.at_ms) <= _attempt_log.SAME_CRASH_MS
-        )
-    )
-
-
-def _merge(
-    known: _types.EngineCrash, other: _types.EngineCrash
-) -> _types.EngineCrash:
-    """Returns a crash with what two instances report of it."""
-    ids = {s.attempt_id for s in known.suspects}
-    at_ms = min(known.at_ms, other.at_ms)
-    added = tuple(
-        s
-        for s in other.suspects
-        if s.attempt_id not in ids
-        and s.sent_ms <= at_ms + _attempt_log.SAME_CRASH_MS
-    )
-    return known._replace(at_ms=at_ms, suspects=known.suspects + added)
-
-
-def _is_one_request(trait: str, run: Sequence[_types.EngineCrash]) -> bool:
-    """Returns whether one request explains all crashes against a segment."""
-    if _types.is_request_trait(trait):
-        return False
-    requests = {
-        t
-        for suspect in run[0].suspects
-        if trait in suspect.traits
-        for t in suspect.traits
-        if _types.is_request_trait(t)
-    }
-    return any(all(_is_suspected(r, c) for c in run) for r in requests)
-
-
 def _min_explained_share(trait: str) -> float:
     if _types.is_request_trait(trait):
         return _MIN_EXPLAINED_SHARE_REQUEST
@@ -501,43 +428,3 @@
         generations >= _MIN_GENERATIONS_ANSWERED
         and run[-1].at_ms - run[0].at_ms >= _MIN_SPAN_ANSWERED_MS
     )
-
-
-def _traits_of(crash: _types.EngineCrash) -> set[str]:
-    """Returns the traits of all suspects of a crash."""
-    return {s for suspect in crash.suspects for s in suspect.traits}
-
-
-def _is_suspected(trait: str, crash: _types.EngineCrash) -> bool:
-    return any(trait in s.traits for s in crash.suspects)
-
-
-def _without(
-    crashes: Collection[_types.EngineCrash], traits: Collection[str]
-) -> list[_types.EngineCrash]:
-    """Returns the crashes that none of the traits explain."""
-    return [c for c in crashes if not any(_is_suspected(s, c) for s in traits)]
-
-
-def _count_generations(trait: str, run: Sequence[_types.EngineCrash]) -> int:
-    """Returns the number of crashes by prompts sent after the one before.
-
-    Engines that crash at the same time while they decode prompts with the same
-    trait are one generation: the cause may be another one.
-    """
-    count, previous_ms = 0, float("-inf")
-    for crash in run:
-        sent_ms = max(s.sent_ms for s in crash.suspects if trait in s.traits)
-        if sent_ms >= previous_ms:
-            count += 1
-            previous_ms = crash.at_ms
-    return count
-
-
-def _count_bursts(crashes: Sequence[_types.EngineCrash]) -> int:
-    count, previous_ms = 0, float("-inf")
-    for crash in crashes:
-        if crash.at_ms - previous_ms > _BURST_GAP_MS:
-            count += 1
-        previous_ms = crash.at_ms
-    return count
