Give the tests of slow readers a memory to exceed

Since the memory is bounded only where the settings ask for it, the shared fixture has no gate, and all tests of this module failed in their setup.

--- a/packages/hollycart/src/hollycart/gateway/tests/test_slow_readers.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_slow_readers.py
@@ -6,7 +6,9 @@
 from eventlet.green import socket as green_socket
 import pytest
 
+from hollycart import gateway
 from hollycart import observe
+from hollycart.gateway import _memory
 from hollycart_core import connections
 
 ANSWER = bytes(range(256)) * 4000  # 1 MB, more than the kernel holds here
@@ -21,6 +23,9 @@
 @pytest.fixture(autouse=True)
 def small_memory(system):
     """Room for about three answers."""
+    policy = gateway.PolicySettings(memory_bytes=200 << 20)
+    system.memory = _memory.make_gate(policy, system.clock)
+    system.front_server.memory = system.memory
     budget = system.memory.budget
     budget.total_bytes, budget.account_bytes = 4 << 20, 3 << 20
     budget.wait_ms = 100.0
