Keep a placement known that was made again within one datagram

Receivers apply the ends of a load update after what was added. A placement of another cell that was made anew in its confirmation was removed by its own end at all other instances of the cell, until the next heartbeat. An attempt that ended in the datagram in which it was placed again stayed for as long. The test of the new placement passed without any: nobody awaited the reply, so that the attempt had been withdrawn.

A body that arrives after the deadline is given up only if it waited for memory until then.

--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -175,8 +175,9 @@
                 endpoint is not to blame.
             ResponseShedError: If the response was given up to free memory.
         """
+        asked_ms = self.clock.now_ms()
         request.exchange.hold(size)
-        if self.clock.now_ms() > request.deadline_ms:
+        if asked_ms <= request.deadline_ms < self.clock.now_ms():
             raise base.DeadlineExceededError(
                 f"{size} bytes of the response received before the deadline"
             )
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -292,8 +292,12 @@
 
     def add(self, assignments: tuple[placement.Assignment, ...]) -> None:
         """Records and announces the assignments of a new attempt."""
+        attempt_id = assignments[0].attempt_id
         self.view.add(self.name, assignments)
-        self._added[assignments[0].attempt_id] = assignments
+        self._added[attempt_id] = assignments
+        # Receivers apply ends last. What is added replaces what was known.
+        if attempt_id in self._ended:
+            self._ended.remove(attempt_id)
         self._schedule_flush()
 
     def start_decoding(self, attempt_id: str) -> None:
@@ -305,8 +309,9 @@
     def remove(self, attempt_id: str) -> None:
         """Records and announces the end of an attempt."""
         self.view.remove(attempt_id)
-        if self._added.pop(attempt_id, None) is None:
-            self._ended.append(attempt_id)
+        # An earlier placement of the attempt may have been announced.
+        self._added.pop(attempt_id, None)
+        self._ended.append(attempt_id)
         self._schedule_flush()
 
     def add_unaccounted(self, reports: list[_messages.EndpointReport]) -> None:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -416,14 +416,58 @@
         other = meeting._replace(attempt_id="a.1")
         asked.peers.view.add("b-1", [other])
 
+    # An instance that does not await the reply would end the attempt.
+    asked.peers.send = lambda message, ip: None
     asked.delegate.clock = _InterruptedClock(fleet.clock.now_ms(), place_other)
     asked.delegate._confirm_and_reply(request, chosen, entry.peers.ip)
     before = {a.endpoint for a in chosen.assignments}
     used = {a.endpoint for a in asked.peers.view.of_attempt("z.1")}
     assert meeting.endpoint in before
+    assert used
     assert meeting.endpoint not in used
 
 
+def test_offered_prompt_that_is_placed_again_stays_known_to_the_cell():
+    """The end of the first placement must not remove the second one."""
+    fleet = Fleet("ab", 2)
+    entry, (asked, other) = fleet.of_zone("a")[0], fleet.of_zone("b")
+    for endpoint in fleet.endpoints:
+        asked.peers.add((fleet.assignment(endpoint, 0),))
+    request = _messages.PlacementRequest(
+        entry.name, "z.1", SERVICE, 150000, 900, 3000.0, 9000.0, 1000.0, [], 9.0
+    )
+    chosen = asked.delegate._place(request, fleet.clock.now_ms())
+
+    def place_other():
+        asked.peers._flush()
+        meeting = chosen.assignments[0]._replace(attempt_id="a.1")
+        asked.peers.view.add("b-1", [meeting])
+
+    # An instance that does not await the reply would end the attempt.
+    asked.peers.send = lambda message, ip: None
+    asked.delegate.clock = _InterruptedClock(fleet.clock.now_ms(), place_other)
+    asked.delegate._confirm_and_reply(request, chosen, entry.peers.ip)
+    placed = asked.peers.view.of_attempt("z.1")
+    assert placed
+    asked.peers._flush()
+    assert {a.endpoint for a in other.peers.view.of_attempt("z.1")} == {
+        a.endpoint for a in placed
+    }
+
+
+def test_attempt_that_ends_as_soon_as_it_was_placed_again_is_forgotten():
+    """Guards against load that the others keep until the next heartbeat."""
+    fleet = Fleet("a", 2)
+    first, second = fleet.instances
+    placed = (fleet.assignment(fleet.endpoints[0], 0),)
+    first.peers.add(placed)
+    first.peers._flush()
+    first.peers.add(placed)
+    first.peers.remove(placed[0].attempt_id)
+    first.peers._flush()
+    assert second.peers.view.is_empty()
+
+
 @pytest.mark.parametrize("conflict", [False, True])
 def test_offered_prompt_is_not_permitted_without_a_permit(conflict):
     """Its endpoint names a limit while the placement is being confirmed.
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -1,3 +1,5 @@
+import types
+
 import eventlet
 import pytest
 
@@ -759,3 +761,15 @@
         if isinstance(d, observe.decisions.Quarantined)
     ]
     assert lines == [True]
+
+
+def test_body_that_arrives_after_the_deadline_is_not_given_up(system):
+    """Only waiting for memory ends at the deadline.
+
+    A body whose head came late has a time of its own, which its read bounds.
+    """
+    request = types.SimpleNamespace(
+        exchange=types.SimpleNamespace(hold=lambda size: None),
+        deadline_ms=system.clock.now_ms() - 1.0,
+    )
+    system.forwarder._attempt_relay._hold(request, 1)
