Take a reply of another cell only from who was asked last

A reply that came after its time was taken for that of the next cell, so that the end of the attempt was reported there and its placement stayed in the first one. Where gain and cost decide, no prompt is offered to an evacuated zone that has no summary. A caller timeout beyond that of the route no longer makes all others count as refused before.

--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -59,7 +59,7 @@
         self.clock = clock
         self.rng = rng
         self.spill = spill
-        self._awaited: dict[str, event.Event] = {}
+        self._awaited: dict[str, tuple[str, event.Event]] = {}
         self._delegated: dict[str, str] = {}
 
     def start(self) -> None:
@@ -91,7 +91,7 @@
         """
         own_cost = round(own.predicted_loss, 3) if own else None
         if self.spill is not None and self.spill.in_force:
-            cells = sorted(self.peers.book.other_cells)
+            cells = self._open_cells()
             for _ in range(_MAX_OFFERS):
                 offer = self.spill.decide(
                     service, prompt, own, cells, body_bytes
@@ -115,12 +115,7 @@
         max_loss = placement.max_remote_loss(prompt, own)
         if max_loss is None:
             return None
-        now_ms = self.clock.now_ms()
-        cells = sorted(
-            name
-            for name, zones in self.peers.book.other_cells.items()
-            if any(self._is_open(zone, now_ms) for zone in zones)
-        )
+        cells = self._open_cells()
         for _ in range(_MAX_OFFERS):
             cell = self.peers.directory.choose(
                 service, cells, self.clock.now_ms(), self.rng
@@ -135,6 +130,15 @@
                 return chosen
         return None
 
+    def _open_cells(self) -> list[str]:
+        """Returns the other cells with a zone that is not evacuated."""
+        now_ms = self.clock.now_ms()
+        return sorted(
+            name
+            for name, zones in self.peers.book.other_cells.items()
+            if any(self._is_open(zone, now_ms) for zone in zones)
+        )
+
     def _is_open(self, zone: str, now_ms: float) -> bool:
         """Returns whether no evacuation of a zone is in force."""
         access = self.platform_state.evacuations.access(zone, now_ms)
@@ -235,7 +239,7 @@
             )
         }
         replied = event.Event()
-        self._awaited[prompt.attempt_id] = replied
+        self._awaited[prompt.attempt_id] = (ip, replied)
         self.peers.send(
             _messages.PlacementRequest(
                 self.peers.name,
@@ -261,8 +265,9 @@
         return reply
 
     def _handle_reply(self, reply: _messages.PlacementReply, ip: str) -> None:
-        replied = self._awaited.get(reply.attempt_id)
-        if replied is not None and not replied.ready():
+        # The attempt may have been offered to another instance before.
+        asked_ip, replied = self._awaited.get(reply.attempt_id, ("", None))
+        if replied is not None and asked_ip == ip and not replied.ready():
             replied.send(reply)
         elif reply.assignments is not None:
             # The reply is late: the prompt was placed elsewhere.
--- a/packages/hollycart/src/hollycart/gateway/_share_guard.py
+++ b/packages/hollycart/src/hollycart/gateway/_share_guard.py
@@ -119,9 +119,12 @@
 
     def _has_returned(self, request: _job.AdmittedRequest) -> bool:
         """Returns whether the caller has spent time on earlier requests."""
-        timeout_ms = request.meta.caller_timeout_ms
-        if timeout_ms is None:
+        if request.meta.caller_timeout_ms is None:
             return False
+        # A caller may wait for longer than its route allows.
+        timeout_ms = min(
+            request.meta.caller_timeout_ms, request.route.timeout_ms
+        )
         longest_ms = max(
             timeout_ms, self._longest_timeouts_ms.get(request.route.name, 0.0)
         )
--- a/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_cells.py
@@ -300,6 +300,32 @@
     assert not delegate.peers.view.of_attempt("x.2")
 
 
+def test_late_reply_of_one_cell_is_not_taken_for_that_of_another():
+    """Else its placement stays, since the end is reported to the other."""
+    fleet = Fleet("abc", 2)
+    fleet.fill("a")
+    entry = fleet.of_zone("a")[1]
+    late = []
+
+    def sendto(sender, data, ip):
+        is_reply = isinstance(_messages.decode(data), _messages.PlacementReply)
+        if is_reply and not late:
+            late.append((sender, data, ip))
+            return
+        if is_reply:
+            send(*late[0])
+        send(sender, data, ip)
+
+    send, fleet.network.sendto = fleet.network.sendto, sendto
+    chosen = _offer(fleet, entry)
+    assert late and chosen is not None
+    entry.delegator.remove("x.1")
+    for instance in fleet.instances:
+        instance.peers._flush()
+    for instance in fleet.instances:
+        assert not instance.peers.view.of_attempt("x.1")
+
+
 def test_silent_instance_costs_no_placement(two_cells):
     two_cells.network.lost_ips = {i.peers.ip for i in two_cells.of_zone("b")}
     entry = two_cells.of_zone("a")[1]
--- a/packages/hollycart/src/hollycart/gateway/tests/test_share_guard.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_share_guard.py
@@ -48,6 +48,16 @@
     assert response.status == 200
 
 
+def test_caller_that_waits_beyond_the_timeout_of_the_route_changes_nothing(
+    crowded,
+):
+    """Else one of them makes all others count as refused before."""
+    crowded.forwarder.apply_policy(gateway.PolicySettings(fair_shares=True))
+    crowded.call("/stream/", key="key-b", tokens=TOKENS, wait=600000)
+    refused = crowded.call("/stream/", key="key-a", tokens=TOKENS, wait=15000)
+    assert refused.status == 503
+
+
 @pytest.mark.parametrize("key", ["key-a", "key-b"])
 def test_no_team_gives_way_if_the_deployment_does_not_ask_for_shares(
     crowded, key
--- a/packages/hollycart/src/hollycart/gateway/tests/test_spill.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_spill.py
@@ -295,3 +295,15 @@
         name.startswith(("crossed", "spill"))
         for name in two_zones.forwarder.metrics.counters
     )
+
+
+def test_prompt_is_not_offered_to_an_evacuated_zone_without_a_summary():
+    """Guards against time-outs before a prompt that its own zone refuses."""
+    fleet = make_fleet(IN_FORCE[0])
+    entry = fleet.of_zone("a")[0]
+    fleet.clock.sleep_ms(3100.0)
+    test_cells._evacuate(fleet, [entry], "b")
+    prompt = fleet.prompt("x.1", "a")
+    fleet.network.datagrams.clear()
+    assert entry.delegator.offer("r", SERVICE, prompt, set(), None) is None
+    assert not fleet.network.datagrams
