Restore the timeout of a connection whose slow caller has read everything

The timeout of 120 s for what a slow caller has left in the kernel stayed for all later requests on its connection: a caller that vanished was noticed by the kernel after 120 s instead of 20 s.

--- a/packages/hollycart-core/src/hollycart_core/connections/_exchange_memory.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_exchange_memory.py
@@ -113,6 +113,11 @@
         if not self._writer.is_empty:
             self._wait()
 
+    @property
+    def was_buffered(self) -> bool:
+        """Whether the caller did not accept something at once."""
+        return self._writer.was_buffered
+
     @property
     def is_flushed(self) -> bool:
         """Whether the socket has accepted everything that was written."""
--- a/packages/hollycart-core/src/hollycart_core/connections/_response_writer.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_response_writer.py
@@ -2,10 +2,7 @@
 
 import collections
 from collections.abc import Callable
-import fcntl
 import socket as std_socket
-import struct
-import termios
 from typing import Any
 
 import eventlet
@@ -36,6 +33,9 @@
         stall_timeout_ms: Time without any progress after which the caller is
             regarded as gone, in ms.
         on_failure: Called from the sending thread with what failed.
+
+    Attributes:
+        was_buffered: Whether the socket did not accept something at once.
     """
 
     def __init__(
@@ -56,6 +56,7 @@
         )
         self._discarded = False
         self._failure = ""
+        self.was_buffered = False
         self._thread: Any = None
         self._flushed: event.Event | None = None
         self._work = base.WorkMeter("response to a caller")
@@ -81,6 +82,7 @@
         self._pieces.append((view, len(data)))
         self.gate.add(self.account, len(data))
         if self._thread is None:
+            self.was_buffered = True
             self.gate.set_buffered(self.account, True)
             self._thread = eventlet.spawn(self._run)
 
@@ -178,6 +180,4 @@
                 unread = left
 
     def _count_unread(self) -> int:
-        """Returns the bytes that the other side has not acknowledged."""
-        packed = fcntl.ioctl(self.sock.fd.fileno(), termios.TIOCOUTQ, bytes(4))
-        return int(struct.unpack("i", packed)[0])
+        return _sockets.count_unread(self.sock)
--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -76,6 +76,7 @@
         self._head: _messages.RequestHead | None = None
         self._received_ms = 0.0
         self._resets_on_close = False
+        self._has_long_timeout = False
         self._watcher: Any = None
         self._thread: Any = None
         self._work = base.WorkMeter(f"request to {server.address}")
@@ -278,6 +279,13 @@
         memory, self.memory = self.memory, None
         if memory is not None:
             memory.close()
+            self._has_long_timeout |= memory.was_buffered
+
+    def _restore_timeout(self) -> None:
+        """Ends the longer timeout once a slow caller has read everything."""
+        if self._has_long_timeout and not _sockets.count_unread(self._sock):
+            _sockets.set_user_timeout(self._sock, _TCP_USER_TIMEOUT_MS)
+            self._has_long_timeout = False
 
     def _open_memory(self) -> None:
         if self.server.memory is not None:
@@ -375,6 +383,7 @@
                     tuple(event.headers.raw_items()),
                 )
                 self._received_ms = clock.now_ms()
+                self._restore_timeout()
                 self._open_memory()
                 if self._http.they_are_waiting_for_100_continue:
                     self.send_event(
--- a/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_sockets.py
@@ -1,7 +1,9 @@
 """Socket options of all TCP connections."""
 
+import fcntl
 import socket as std_socket
 import struct
+import termios
 from typing import Any
 
 from eventlet import hubs
@@ -46,6 +48,19 @@
     )
 
 
+def count_unread(sock: Any) -> int:
+    """Returns the bytes that the other side has not acknowledged.
+
+    Args:
+        sock: A TCP socket.
+
+    Raises:
+        OSError: If the connection is already closed.
+    """
+    packed = fcntl.ioctl(sock.fd.fileno(), termios.TIOCOUTQ, bytes(4))
+    return int(struct.unpack("i", packed)[0])
+
+
 def set_reset_on_close(sock: Any, enabled: bool) -> None:
     """Sets whether closing the connection resets it.
 
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_slow_callers.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_slow_callers.py
@@ -304,3 +304,28 @@
     assert reset or content(received) is None
     body = received.partition(b"\r\n\r\n")[2]
     assert framing == "chunked" or BODY.startswith(body)
+
+
+def test_next_request_of_a_slow_caller_has_the_usual_timeout(
+    start_server, connect, eventually
+):
+    """Else a caller that vanishes is noticed after two minutes, not 20 s."""
+    timeouts_ms = []
+
+    def answer(exchange):
+        sock = exchange._connection._sock
+        timeouts_ms.append(
+            sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        )
+        respond(exchange)
+
+    server = start_server(answer)
+    request = GET.replace(b"Connection: close\r\n", b"")
+    sock = connect(server.address, request)
+    eventlet.sleep(0.1)  # the caller does not read at first
+    received = b""
+    while not received or content(received) is None:
+        received += sock.recv(65536)
+    sock.sendall(request)
+    eventually(lambda: len(timeouts_ms) == 2)
+    assert timeouts_ms[0] == timeouts_ms[1]
