--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -19,6 +19,9 @@
 from hollycart_core.connections import _server_interface
 from hollycart_core.connections import _sockets
 
+# TCP_USER_TIMEOUT: Linux drops a connection whose sent bytes are not
+# acknowledged for this long.
+TCP_USER_TIMEOUT_MS = 20000
 _READ_BYTES = 65536
 _MAX_READ_AHEAD_BYTES = 65536  # received after the request in progress
 # Pieces of one request body: chunks, or what arrives at once.
@@ -59,6 +62,7 @@
         self._head: _messages.RequestHead | None = None
         self._received_ms = 0.0
         self._resets_on_close = False
+        self._has_long_timeout = False
         self._watcher: Any = None
         self._thread: Any = None
         self._work = base.WorkMeter(f"request to {server.address}")
@@ -261,6 +265,13 @@
         memory, self.memory = self.memory, None
         if memory is not None:
             memory.close()
+            self._has_long_timeout |= memory.was_buffered
+
+    def _restore_timeout(self) -> None:
+        """Ends the longer timeout once a slow caller has read everything."""
+        if self._has_long_timeout and not _sockets.count_unread(self._sock):
+            _sockets.set_user_timeout(self._sock, TCP_USER_TIMEOUT_MS)
+            self._has_long_timeout = False
 
     def _open_memory(self) -> None:
         if self.server.memory is not None:
@@ -358,6 +369,7 @@
                     tuple(event.headers.raw_items()),
                 )
                 self._received_ms = clock.now_ms()
+                self._restore_timeout()
                 self._open_memory()
                 if self._http.they_are_waiting_for_100_continue:
                     self.send_event(
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_slow_callers.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_slow_callers.py
@@ -271,3 +271,61 @@
     sock = connect(start_server(handle).address, post(3) + b"abc")
     sock.recv(1000)
     assert sizes == [3, 0]
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_nothing_is_sent_after_a_part_was_discarded(
+    framing, start_server, connect, receive_all
+):
+    """The handler goes on before it is interrupted; no bytes may be missing.
+
+    A green thread that is due already runs before the one that interrupts it.
+    """
+    _, request = FRAMINGS[framing]
+    refused = []
+
+    def write_on(exchange):
+        length = None if framing != "length" else len(BODY)
+        exchange.start(200, (), length)
+        for part in PARTS[:4]:
+            exchange.write(part)
+        exchange._connection.memory._shed()
+        try:
+            for part in PARTS[4:]:
+                exchange.write(part)
+            exchange.finish()
+        except connections.ResponseShedError:
+            refused.append(True)
+            raise
+
+    server = start_server(write_on)
+    received, reset = receive_all(connect(server.address, request))
+    assert refused
+    assert reset or content(received) is None
+    body = received.partition(b"\r\n\r\n")[2]
+    assert framing == "chunked" or BODY.startswith(body)
+
+
+def test_next_request_of_a_slow_caller_has_the_usual_timeout(
+    start_server, connect, eventually
+):
+    """Else a caller that vanishes is noticed after two minutes, not 20 s."""
+    timeouts_ms = []
+
+    def answer(exchange):
+        sock = exchange._connection._sock
+        timeouts_ms.append(
+            sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        )
+        respond(exchange)
+
+    server = start_server(answer)
+    request = GET.replace(b"Connection: close\r\n", b"")
+    sock = connect(server.address, request)
+    eventlet.sleep(0.1)  # the caller does not read at first
+    received = b""
+    while not received or content(received) is None:
+        received += sock.recv(65536)
+    sock.sendall(request)
+    eventually(lambda: len(timeouts_ms) == 2)
+    assert timeouts_ms[0] == timeouts_ms[1]
