--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -18,9 +18,6 @@
 
 _BACKLOG = 1024
 _FINISH_POLL_MS = 2.0
-# TCP_USER_TIMEOUT: Linux drops a connection whose sent bytes are not
-# acknowledged for this long.
-_TCP_USER_TIMEOUT_MS = 20000
 _DEFAULT_LIMITS = _server_interface.ServerLimits()
 
 
@@ -135,7 +132,7 @@
 
     def _start_connection(self, sock: Any) -> None:
         try:
-            _sockets.configure(sock, _TCP_USER_TIMEOUT_MS)
+            _sockets.configure(sock, _server_connection.TCP_USER_TIMEOUT_MS)
         except OSError as exc:
             logging.info("accepted connection already closed: %s", exc)
             sock.close()
--- a/packages/hollycart/src/hollycart/gateway/_delegator.py
+++ b/packages/hollycart/src/hollycart/gateway/_delegator.py
@@ -59,7 +59,7 @@
         self.clock = clock
         self.rng = rng
         self.spill = spill
-        self._awaited: dict[str, event.Event] = {}
+        self._awaited: dict[str, tuple[str, event.Event]] = {}
         self._delegated: dict[str, str] = {}
 
     def start(self) -> None:
@@ -91,7 +91,7 @@
         """
         own_cost = round(own.predicted_loss, 3) if own else None
         if self.spill is not None and self.spill.in_force:
-            cells = sorted(self.peers.book.other_cells)
+            cells = self.open_cells(self.clock.now_ms())
             for _ in range(_MAX_OFFERS):
                 offer = self.spill.decide(
                     service, prompt, own, cells, body_bytes
@@ -238,7 +238,7 @@
             )
         }
         replied = event.Event()
-        self._awaited[prompt.attempt_id] = replied
+        self._awaited[prompt.attempt_id] = (ip, replied)
         self.peers.send(
             _messages.PlacementRequest(
                 self.peers.name,
@@ -264,8 +264,9 @@
         return reply
 
     def _handle_reply(self, reply: _messages.PlacementReply, ip: str) -> None:
-        replied = self._awaited.get(reply.attempt_id)
-        if replied is not None and not replied.ready():
+        # The attempt may have been offered to another instance before.
+        asked_ip, replied = self._awaited.get(reply.attempt_id, ("", None))
+        if replied is not None and asked_ip == ip and not replied.ready():
             replied.send(reply)
         elif reply.assignments is not None:
             # The reply is late: the prompt was placed elsewhere.
