Try further endpoints while all of a zone refuse connections

Cause: a request failed with 503 after four refused connections.

Change: where the settings say that the loss of a zone must be borne, up to 24 refused connections are tried; nothing is sent to them, and each is out of use for all once it is known. The test fails without the change.

--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -201,7 +201,7 @@
             clock,
         )
         self.retries = _retries.RetryControl(
-            platform_state, peers, budget, log, metrics, clock
+            platform_state, peers, budget, log, metrics, clock, self.policy
         )
         self._attribution = _attribution.FailureAttribution(
             self.monitor,
@@ -232,6 +232,7 @@
         """Applies what the deployment asks of policies under load."""
         self.policy = policy
         self.share_guard.policy = policy
+        self.retries.policy = policy
         self.evacuation.set_bound(policy.evacuate_ms)
 
     def start(self) -> None:
--- a/packages/hollycart/src/hollycart/gateway/_retries.py
+++ b/packages/hollycart/src/hollycart/gateway/_retries.py
@@ -5,12 +5,17 @@
 from hollycart.gateway import _failures
 from hollycart.gateway import _job
 from hollycart.gateway import _peers
+from hollycart.gateway import _settings
 from hollycart.gateway import _state
 from hollycart_core import base
 from hollycart_core import placement
 
 # A request that endpoints reject more often than this fails.
 _MAX_REJECTIONS = 3
+# The same for refused connections where the loss of an availability zone must
+# be borne: all endpoints of a zone refuse at once, until one after the other is
+# known to be unreachable. Nothing is sent to them.
+_MAX_UNREACHABLE = 24
 # Delay before a prompt is placed again when KV-cache memory was not available.
 # Batch steps, after which memory may become free, end more often than this.
 MEMORY_RETRY_INTERVAL_MS = 100.0
@@ -26,6 +31,7 @@
         log: Decision log.
         metrics: Receives counts.
         clock: Source of time.
+        policy: What the deployment asks of policies under load.
     """
 
     def __init__(
@@ -36,6 +42,7 @@
         log: observe.DecisionLog,
         metrics: observe.Metrics,
         clock: base.Clock,
+        policy: _settings.PolicySettings,
     ) -> None:
         self.platform_state = platform_state
         self.peers = peers
@@ -43,6 +50,7 @@
         self.log = log
         self.metrics = metrics
         self.clock = clock
+        self.policy = policy
 
     def may_wait_for_memory(self, request: _job.AdmittedRequest) -> bool:
         """Returns whether a prompt may wait for KV-cache memory.
@@ -65,7 +73,7 @@
     ) -> bool:
         """Returns whether to retry; if so, charges the retry budget."""
         now_ms = self.clock.now_ms()
-        if progress.rejections > _MAX_REJECTIONS:
+        if progress.rejections > self._max_rejections(exc):
             return False
         if request.deadline_ms - now_ms < _attempt.MIN_REMAINING_MS:
             return False
@@ -97,6 +105,12 @@
         )
         return True
 
+    def _max_rejections(self, exc: base.HollycartError) -> int:
+        is_unreachable = isinstance(exc, base.EndpointUnreachableError)
+        if is_unreachable and self.policy.tolerated_zones:
+            return _MAX_UNREACHABLE
+        return _MAX_REJECTIONS
+
     def has_retries(self, service: str) -> bool:
         """Returns whether the retry budget of a service has room."""
         left = self.budget.left(
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -3,6 +3,7 @@
 import eventlet
 import pytest
 
+from hollycart import gateway
 from hollycart import observe
 from hollycart.gateway import _crash_messages
 from hollycart.gateway import _messages
@@ -773,3 +774,19 @@
         deadline_ms=system.clock.now_ms() - 1.0,
     )
     system.forwarder._attempt_relay._hold(request, 1)
+
+
+@pytest.mark.parametrize(("zones", "status"), [(0, 503), (1, 200)])
+def test_request_is_served_although_all_endpoints_of_a_zone_refuse(
+    system, endpoints, answers, free_port, zones, status
+):
+    """Guards against refusals while a zone that may be lost is down."""
+    system.forwarder.apply_policy(gateway.PolicySettings(tolerated_zones=zones))
+    for endpoint in endpoints:
+        endpoint.handler = answers.complete
+    lost = [
+        placement.Endpoint(f"a{i}", f"127.0.0.1:{free_port()}", "svc", "z", 8)
+        for i in range(8)
+    ]
+    system.apply_state(listed_endpoints=lost + system.listed_endpoints)
+    assert system.call("/once/").status == status
