--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -58,6 +58,7 @@
     Attributes:
         arrivals: Requests that reached it, in order.
         state: `ready` or `draining`.
+        running: Number of requests that it runs now.
     """
 
     def __init__(
@@ -78,7 +79,7 @@
         self.arrivals: list[Arrival] = []
         self.state = "ready"
         self.born = int(time.time() * 1000)
-        self._running = 0
+        self.running = 0
 
     async def start(self) -> None:
         """Starts to listen."""
@@ -113,7 +114,7 @@
         request_id = request.headers.get("x-request-id", "")
         expected = request.headers.get("x-expect-instance", self.id)
         headers = {"X-Request-Id": request_id}
-        ran = expected == self.id and self._running < self.slots + 24
+        ran = expected == self.id and self.running < self.slots + 24
         self.arrivals.append(
             Arrival(
                 time.monotonic(),
@@ -128,13 +129,13 @@
             status = 503 if expected == self.id else 421
             await channel.respond(status, {**headers, "X-Not-Executed": "1"})
             return
-        self._running += 1
+        self.running += 1
         try:
             await asyncio.sleep(self.work_ms / 1000.0)
         finally:
-            self._running -= 1
+            self.running -= 1
         headers["X-Server-Seal"] = f"{self.id}.{request_id}"
-        headers["X-Server-Load"] = f"{self._running},0,{self.slots}"
+        headers["X-Server-Load"] = f"{self.running},0,{self.slots}"
         await channel.respond(200, headers, b"answer of " + self.id.encode())
 
 
@@ -157,9 +158,9 @@
     return engines
 
 
-async def start_store() -> store.Store:
+async def start_store(model_engines: int = 3) -> store.Store:
     """Starts a store, and the model engines that a deployment has."""
     records = store.Store("127.0.0.1", system.free_ports(1)[0])
     await records.start()
-    await start_engines(records, load.MODEL_SERVICE, 3)
+    await start_engines(records, load.MODEL_SERVICE, model_engines)
     return records
--- a/review/common/http1.py
+++ b/review/common/http1.py
@@ -83,13 +83,15 @@
     async def run(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                request = await read_request(reader)
-                if request is None:
-                    break
-                await handler(request, Channel(reader, writer))
-        writer.close()
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    request = await read_request(reader)
+                    if request is None:
+                        break
+                    await handler(request, Channel(reader, writer))
+        finally:
+            writer.close()
 
     return await asyncio.start_server(
         run, host, port, limit=_MAX_HEAD_BYTES, backlog=1024
--- a/review/common/load.py
+++ b/review/common/load.py
@@ -61,11 +61,14 @@
                 "path-prefix": f"/{route.prefix}/",
                 "service": route.service,
                 "kind": route.kind,
-                "timeout-ms": 1500,
+                "timeout-ms": 10000 if route.kind == "streaming" else 1500,
                 "target-latency-ms": 300,
                 "priority": 2,
-                "max-attempts": 2 if route.kind == "idempotent" else 1,
+                "max-attempts": 1 if route.kind == "non_idempotent" else 2,
                 "public": route.public,
+                "affinity": route.kind == "streaming",
+                "stream-resume": route.kind == "streaming",
+                "gap-aim-ms": 200 if route.kind == "streaming" else 0,
             }
             for route in routes
         ],
