Deeply nested entry no longer stops all instances

Cause: msgspec raises RecursionError for deep nesting, also in fields that it skips. Each boundary caught a list of exceptions without it, so it left the decoder of the whole state; the state was neither applied nor confirmed.

base.parse turns whatever a parser raises into a reason. It replaces the lists at the store's answers, engines' reports and events, calls and states of peers, the instance list, requests and the operators' tables.

The deployed program needs `result` now.

--- a/packages/hollycart-bench/src/hollycart_bench/engine/_app.py
+++ b/packages/hollycart-bench/src/hollycart_bench/engine/_app.py
@@ -91,10 +91,9 @@
                 start_response, 200, self._published_events()
             )
         data = http.read_body(environ, _MAX_BODY_BYTES)
-        try:
-            body = msgspec.json.decode(data or b"{}")
-        except base.DECODE_ERRORS as exc:
-            raise base.InvalidRequestError(str(exc)) from exc
+        body = base.parse(msgspec.json.decode, data or b"{}").unwrap_or_raise(
+            base.InvalidRequestError
+        )
         if path in ("/v1/completions", "/v1/chat/completions"):
             return self._complete(body, start_response)
         if path == "/v1/cancel":
--- a/packages/hollycart-bench/src/hollycart_bench/platform/_kv_app.py
+++ b/packages/hollycart-bench/src/hollycart_bench/platform/_kv_app.py
@@ -99,7 +99,7 @@
             self.clock.sleep_ms(self.faults.delay_ms)
         try:
             response = self._execute(name, msgspec.json.decode(body))
-        except (KeyError, *base.DECODE_ERRORS) as exc:
+        except (KeyError, ValueError, RecursionError) as exc:
             return http.json_response(start_response, 400, {"e": str(exc)})
         is_write = name not in _READ_CALLS
         if is_write and self.rng.random() < self.faults.lose_answers:
--- a/packages/hollycart-core/src/hollycart_core/base/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/base/__init__.py
@@ -5,7 +5,6 @@
 from hollycart_core.base._clock import ManualClock
 from hollycart_core.base._clock import SystemClock
 from hollycart_core.base._deadline import Deadline
-from hollycart_core.base._errors import DECODE_ERRORS
 from hollycart_core.base._errors import BodyTimeoutError
 from hollycart_core.base._errors import DeadlineExceededError
 from hollycart_core.base._errors import EndpointFailedError
@@ -46,13 +45,13 @@
 from hollycart_core.base._outcome import NotRun
 from hollycart_core.base._outcome import Outcome
 from hollycart_core.base._outcome import Unknown
+from hollycart_core.base._parsing import parse
 from hollycart_core.base._rendezvous import rendezvous_rank
 from hollycart_core.base._work_meter import WorkMeter
 
 __all__ = [
     "LoopWatch",
     "WorkMeter",
-    "DECODE_ERRORS",
     "AttemptId",
     "AttemptIdGenerator",
     "BodyTimeoutError",
@@ -97,5 +96,6 @@
     "VersionConflictError",
     "check_invariant",
     "invariant_checks",
+    "parse",
     "rendezvous_rank",
 ]
--- a/packages/hollycart-core/src/hollycart_core/base/_errors.py
+++ b/packages/hollycart-core/src/hollycart_core/base/_errors.py
@@ -2,12 +2,6 @@
 
 from typing import ClassVar
 
-import msgspec
-
-# Exceptions that msgspec raises for bytes it cannot decode. A string that is
-# not UTF-8 raises UnicodeDecodeError, which is not a DecodeError.
-DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError)
-
 
 class HollycartError(Exception):
     """Base class of all errors.
--- a/packages/hollycart-core/src/hollycart_core/http/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/http/_client.py
@@ -40,10 +40,11 @@
         Raises:
             EndpointFailedError: If the body is not JSON.
         """
-        try:
-            return msgspec.json.decode(self.body)
-        except base.DECODE_ERRORS as exc:
-            raise base.EndpointFailedError(f"not JSON: {exc}") from exc
+        return (
+            base.parse(msgspec.json.decode, self.body)
+            .map_err(lambda reason: f"not JSON: {reason}")
+            .unwrap_or_raise(base.EndpointFailedError)
+        )
 
 
 class HttpStream:
--- a/packages/hollycart-core/src/hollycart_core/membership/_source.py
+++ b/packages/hollycart-core/src/hollycart_core/membership/_source.py
@@ -9,6 +9,7 @@
 from hollycart_core.membership import _types
 
 _READ_TIMEOUT_MS = 1000
+_LIST_DECODER = msgspec.json.Decoder(_types.InstanceList)
 
 
 class ListSource(Protocol):
@@ -55,13 +56,10 @@
                 f"instance list at {self.address} answered HTTP "
                 f"{response.status}, expected 200 or 304"
             )
-        try:
-            instances = msgspec.json.decode(
-                response.body, type=_types.InstanceList
-            )
-        except base.DECODE_ERRORS as exc:
-            raise base.EndpointFailedError(
-                f"malformed instance list from {self.address}: {exc}"
-            ) from exc
+        instances = (
+            base.parse(_LIST_DECODER.decode, response.body)
+            .map_err(lambda r: f"malformed list from {self.address}: {r}")
+            .unwrap_or_raise(base.EndpointFailedError)
+        )
         self._etag = response.headers.get("ETag", "")
         return instances
--- a/packages/hollycart/src/hollycart/endpoints/_sse.py
+++ b/packages/hollycart/src/hollycart/endpoints/_sse.py
@@ -79,10 +79,11 @@
 
 
 def _parse_event(data: bytes) -> EngineFrame:
-    try:
-        event = _DECODER.decode(data)
-    except base.DECODE_ERRORS as exc:
-        raise base.EndpointFailedError(f"event: {exc}") from exc
+    event = (
+        base.parse(_DECODER.decode, data)
+        .map_err(lambda reason: f"event: {reason}")
+        .unwrap_or_raise(base.EndpointFailedError)
+    )
     choice = event.choices[0] if event.choices else _Choice()
     frame = streams.Frame(
         event.id,
--- a/packages/hollycart/src/hollycart/entry/_admin.py
+++ b/packages/hollycart/src/hollycart/entry/_admin.py
@@ -13,6 +13,7 @@
 
 PREFIX = "/admin/"
 _MAX_BODY_BYTES = 4 << 20
+_DELTAS_DECODER = msgspec.json.Decoder(list[table.Delta])
 
 
 class AdminHandler:
@@ -69,9 +70,8 @@
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
         data = http.read_body(environ, _MAX_BODY_BYTES)
-        try:
-            deltas = msgspec.json.decode(data, type=list[table.Delta])
-        except base.DECODE_ERRORS as exc:
-            raise base.InvalidRequestError(str(exc)) from exc
+        deltas = base.parse(_DELTAS_DECODER.decode, data).unwrap_or_raise(
+            base.InvalidRequestError
+        )
         self.apply_deltas(deltas)
         return http.json_response(start_response, 200, {})
--- a/packages/hollycart/src/hollycart/entry/_request.py
+++ b/packages/hollycart/src/hollycart/entry/_request.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
+from typing import TypeVar
 
 import msgspec
 import xxhash
@@ -17,6 +18,8 @@
 # Fields that only this system sets in a request to an engine.
 _RESERVED_FIELDS = ("request_id", "resume_from", "priority", "shares")
 
+_T = TypeVar("_T")
+
 
 class CompletionRequest(NamedTuple):
     """A validated request; its prompt is kept as undecoded JSON.
@@ -79,6 +82,10 @@
     stream_options: dict[str, Any] = {}
 
 
+_FIELDS_DECODER = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_KNOWN_DECODER = msgspec.json.Decoder(_KnownFields)
+
+
 def parse_completion(path: str, body: bytes) -> CompletionRequest:
     """Parses and validates a body without decoding the prompt.
 
@@ -98,18 +105,10 @@
         >>> parse_completion("/v1/completions", body).max_tokens
         4
     """
-    try:
-        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except base.DECODE_ERRORS as exc:
-        raise base.InvalidRequestError(f"body: {exc}") from exc
+    fields = _parse_body(_FIELDS_DECODER, body)
     name = "messages" if path.endswith("/chat/completions") else "prompt"
     other_fields = {k: v for k, v in fields.items() if k != name}
-    try:
-        known = msgspec.json.decode(
-            msgspec.json.encode(other_fields), type=_KnownFields
-        )
-    except base.DECODE_ERRORS as exc:
-        raise base.InvalidRequestError(f"body: {exc}") from exc
+    known = _parse_body(_KNOWN_DECODER, msgspec.json.encode(other_fields))
     for field in _RESERVED_FIELDS:
         if field in fields:
             raise base.InvalidRequestError(f"{field}: is not allowed")
@@ -156,6 +155,14 @@
     return float(min(int(text), limit_ms))
 
 
+def _parse_body(decoder: msgspec.json.Decoder[_T], body: bytes) -> _T:
+    return (
+        base.parse(decoder.decode, body)
+        .map_err(lambda reason: f"body: {reason}")
+        .unwrap_or_raise(base.InvalidRequestError)
+    )
+
+
 def _check_prompt(name: str, prompt_json: bytes) -> None:
     if name == "prompt":
         if len(prompt_json) < 3 or prompt_json[0] != _QUOTE_BYTE:
--- a/packages/hollycart/src/hollycart/gateway/_shared_state.py
+++ b/packages/hollycart/src/hollycart/gateway/_shared_state.py
@@ -67,9 +67,15 @@
         >>> decode_reply(encode_reply(5.0, compress(raw)))[1].contents.revision
         7
     """
-    try:
-        reply = _REPLY_DECODER.decode(body)
-        state = _STATE_DECODER.decode(zlib.decompress(reply.compressed))
-    except (*base.DECODE_ERRORS, zlib.error) as exc:
-        raise base.PeerUnreachableError(f"malformed state: {exc}") from exc
-    return reply.age_ms, state
+    return (
+        base.parse(_decode_reply, body)
+        .map_err(lambda reason: f"malformed state: {reason}")
+        .unwrap_or_raise(base.PeerUnreachableError)
+    )
+
+
+def _decode_reply(body: bytes) -> tuple[float, SharedState]:
+    reply = _REPLY_DECODER.decode(body)
+    return reply.age_ms, _STATE_DECODER.decode(
+        zlib.decompress(reply.compressed)
+    )
--- a/packages/hollycart/src/hollycart/peers/_client.py
+++ b/packages/hollycart/src/hollycart/peers/_client.py
@@ -105,10 +105,12 @@
             raise base.PeerUnreachableError(f"{method.name}: {fut.code()}")
         reply = fut.result()
         self.bytes_received += len(reply)
-        try:
-            return msgspec.msgpack.decode(reply, type=method.reply_type)
-        except base.DECODE_ERRORS as exc:
-            raise base.PeerUnreachableError(method.name) from exc
+        decoder = msgspec.msgpack.Decoder(method.reply_type)
+        return (
+            base.parse(decoder.decode, reply)
+            .map_err(lambda reason: f"{method.name}: {reason}")
+            .unwrap_or_raise(base.PeerUnreachableError)
+        )
 
     def _channel(self, address: str) -> Any:
         channel = self._channels.get(address)
--- a/packages/hollycart/src/hollycart/peers/_server.py
+++ b/packages/hollycart/src/hollycart/peers/_server.py
@@ -7,6 +7,7 @@
 
 import grpc
 import msgspec
+import result
 
 from hollycart.peers import _bridge
 from hollycart.peers import _methods
@@ -86,12 +87,14 @@
             if not self._is_authenticated(context):
                 context.abort(grpc.StatusCode.UNAUTHENTICATED, "secret")
             self.bytes_received += len(data)
+            request = base.parse(decoder.decode, data)
+            if isinstance(request, result.Err):
+                context.abort(
+                    grpc.StatusCode.INVALID_ARGUMENT, request.err_value
+                )
+                raise base.InvalidRequestError(request.err_value)
             try:
-                request = decoder.decode(data)
-            except base.DECODE_ERRORS:
-                context.abort(grpc.StatusCode.INVALID_ARGUMENT, "message")
-            try:
-                reply = encoder.encode(handler(request))
+                reply = encoder.encode(handler(request.ok_value))
             except base.HollycartError as exc:
                 context.abort(grpc.StatusCode.FAILED_PRECONDITION, exc.code)
                 raise
--- a/packages/hollycart/src/hollycart/peers/tests/test_messages.py
+++ b/packages/hollycart/src/hollycart/peers/tests/test_messages.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 import msgspec
 import pytest
+import result
 
 from hollycart import peers
 from hollycart_core import base
@@ -23,14 +24,23 @@
 
 @pytest.mark.parametrize("method", _METHODS, ids=lambda m: m.name)
 @given(data=st.binary(max_size=60))
-def test_any_bytes_decode_or_give_a_decode_error(method, data):
-    try:
-        msgspec.msgpack.decode(data, type=method.request_type)
-    except base.DECODE_ERRORS:
-        pass
+def test_any_bytes_are_a_request_or_a_reason(method, data):
+    decoder = msgspec.msgpack.Decoder(method.request_type)
+    parsed = base.parse(decoder.decode, data)
+    if isinstance(parsed, result.Ok):
+        msgspec.convert(
+            msgspec.to_builtins(parsed.ok_value), method.request_type
+        )
+    else:
+        assert parsed.err_value
 
 
-def test_text_that_is_not_utf8_is_an_invalid_argument():
+@pytest.mark.parametrize(
+    "data",
+    [b"\x91\x91\xa1\xff", b"\x91" * 5000],
+    ids=["text that is not UTF-8", "deep nesting"],
+)
+def test_malformed_message_is_an_invalid_argument(data):
     bridge = peers.LoopBridge()
     bridge.start()
     sock = socket.socket()
@@ -43,7 +53,7 @@
     )
     server.start()
     stub = grpc.insecure_channel(address).unary_unary("/hollycart.Peer/Confirm")
-    fut = stub.future(b"\x91\x91\xa1\xff", timeout=10)
+    fut = stub.future(data, timeout=10)
     done = event.Event()
     fut.add_done_callback(lambda f: bridge.post(lambda: done.send(f.code())))
     assert done.wait() is grpc.StatusCode.INVALID_ARGUMENT
--- a/packages/hollycartctl/src/hollycartctl/main.py
+++ b/packages/hollycartctl/src/hollycartctl/main.py
@@ -275,12 +275,10 @@
         file: JSON list of `[endpoint_id, [model, ...], role]`.
         json: Print JSON.
     """
-    try:
-        wanted = msgspec.json.decode(
-            _read(file).encode(), type=list[orders.Order]
-        )
-    except base.DECODE_ERRORS as exc:
-        raise base.InvalidTableError(str(exc)) from exc
+    decoder = msgspec.json.Decoder(list[orders.Order])
+    wanted = base.parse(decoder.decode, _read(file).encode()).unwrap_or_raise(
+        base.InvalidTableError
+    )
     operations.default_client().set_targets(wanted)
     if json:
         _print_json({"targets": len(wanted)})
--- a/packages/hollycartctl/src/hollycartctl/operations/_where.py
+++ b/packages/hollycartctl/src/hollycartctl/operations/_where.py
@@ -1,5 +1,6 @@
 """Asks an instance where a request would be sent."""
 
+from typing import TypeVar
 import urllib.parse
 
 import msgspec
@@ -10,11 +11,15 @@
 
 _TIMEOUT_MS = 5000.0
 _OK = 200
+_ANSWER_DECODER = msgspec.json.Decoder(dry_run.Answer)
+_FAILURE_DECODER = msgspec.json.Decoder(dry_run.Failure)
 # What an instance refuses because of the query itself.
 _QUERY_ERRORS: dict[str, type[base.HollycartError]] = {
     e.code: e for e in (base.NotFoundError, base.InvalidRequestError)
 }
 
+_T = TypeVar("_T")
+
 
 def ask_where(address: str, query: dry_run.Query) -> dry_run.Answer:
     """Returns where an instance would send a request now.
@@ -40,15 +45,22 @@
         ) from exc
     finally:
         client.close()
-    try:
-        if response.status == _OK:
-            return msgspec.json.decode(response.body, type=dry_run.Answer)
-        failure = msgspec.json.decode(response.body, type=dry_run.Failure)
-    except base.DECODE_ERRORS as exc:
-        raise base.PeerUnreachableError(
-            f"{address} answers with status {response.status}, but not the "
-            f"query: {exc}"
-        ) from exc
+
+    def decode(decoder: msgspec.json.Decoder[_T]) -> _T:
+        return (
+            base.parse(decoder.decode, response.body)
+            .map_err(
+                lambda reason: (
+                    f"{address} answers with status "
+                    f"{response.status}, but not the query: {reason}"
+                )
+            )
+            .unwrap_or_raise(base.PeerUnreachableError)
+        )
+
+    if response.status == _OK:
+        return decode(_ANSWER_DECODER)
+    failure = decode(_FAILURE_DECODER)
     error = _QUERY_ERRORS.get(failure.code)
     if error is not None:
         raise error(failure.detail)
