Configuration with an empty list of tenants admits no key

Cause: an absent list of tenants, with which requests need no key, was decoded as the empty list, and authorize took the absence of teams for the absence of keys.

--- a/packages/hollycart-core/src/hollycart_core/routing/_config.py
+++ b/packages/hollycart-core/src/hollycart_core/routing/_config.py
@@ -12,7 +12,8 @@
         version: Increases with each accepted configuration.
         routes: All routes.
         services: All services.
-        teams: All teams; empty if requests need no API key.
+        teams: All teams; None if requests need no API key. With an empty
+            list, no key is valid.
         limits: Limits on requests and connections of callers.
 
     Example:
@@ -30,19 +31,19 @@
         version: int,
         routes: Iterable[_types.Route],
         services: Iterable[_types.Service],
-        teams: Iterable[_types.Team] = (),
+        teams: Iterable[_types.Team] | None = None,
         limits: _types.Limits | None = None,
     ) -> None:
         self.version = version
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
-        self.teams = tuple(teams)
+        self.teams = None if teams is None else tuple(teams)
         self.limits = limits or _types.Limits()
         self._routes_by_host: dict[str, list[_types.Route]] = {}
         for route in sorted(self.routes, key=lambda r: -len(r.path_prefix)):
             self._routes_by_host.setdefault(route.host, []).append(route)
         self._team_by_key = {
-            key: team for team in self.teams for key in team.api_keys
+            key: team for team in self.teams or () for key in team.api_keys
         }
 
     def find_route(self, host: str, path: str) -> _types.Route | None:
@@ -58,6 +59,10 @@
                 return route
         return None
 
+    def requires_key(self, route: _types.Route) -> bool:
+        """Returns whether requests of a route need a valid API key."""
+        return self.teams is not None and not route.public
+
     def find_team(self, api_key: str) -> _types.Team | None:
         """Returns the team that holds an API key, if any."""
         return self._team_by_key.get(api_key)
--- a/packages/hollycart/src/hollycart/gateway/_admission.py
+++ b/packages/hollycart/src/hollycart/gateway/_admission.py
@@ -163,7 +163,7 @@
                 key is still valid.
             UnauthorizedError: If the API key is unknown.
         """
-        if not cfg.teams or route.public:
+        if not cfg.requires_key(route):
             return None
         if not self.platform_state.freshness.is_fresh(self.clock.now_ms()):
             raise base.StaleConfigError(
--- a/packages/hollycart/src/hollycart/gateway/_where.py
+++ b/packages/hollycart/src/hollycart/gateway/_where.py
@@ -271,7 +271,7 @@
 
 def _find_key(cfg: routing.RoutingConfig | None, team: str) -> str:
     """Returns a key of a team, or of any team if none is named."""
-    for known in cfg.teams if cfg else ():
+    for known in (cfg.teams if cfg else None) or ():
         if known.api_keys and team in ("", known.name):
             return known.api_keys[0]
     return ""
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -344,6 +344,40 @@
     assert not request_count(endpoints)
 
 
+@pytest.mark.parametrize(
+    "teams",
+    [[], [routing.Team("team-a", ())]],
+    ids=["no team", "a team without keys"],
+)
+def test_configuration_without_valid_keys_admits_no_key(
+    system, endpoints, answers, teams
+):
+    """Guards against routes that open when the last team or key is removed."""
+    script(endpoints, answers.complete)
+    system.apply_state()
+    assert system.call("/once/").status == 200
+    system.apply_state(
+        config=routing.RoutingConfig(
+            2, system.config.routes, system.config.services.values(), teams
+        )
+    )
+    before = request_count(endpoints)
+    assert system.call("/once/").status == 401
+    assert system.call("/once/", key="").status == 401
+    assert request_count(endpoints) == before
+    assert system.call("/free/").status == 200
+
+
+def test_configuration_without_teams_needs_no_key(system, endpoints, answers):
+    script(endpoints, answers.complete)
+    system.apply_state(
+        config=routing.RoutingConfig(
+            2, system.config.routes, system.config.services.values()
+        )
+    )
+    assert system.call("/once/", key="").status == 200
+
+
 def test_request_of_a_disconnected_caller_is_cancelled_at_its_endpoint(
     system, endpoints, answers, eventually
 ):
