Unforeseen exception ends one turn of a loop, not the loop

Callers would see the effects of an instance that hears no other one any more: prompts placed without their load, and keys of a state that only it confirms.

Cause: the thread that receives datagrams caught msgspec.DecodeError, which neither text that is not UTF-8 nor deep nesting raises, and no error of a handler. The loops that send heartbeats, poll the store, renew the registration, measure the event loop, run callbacks and report permits ended in the same way.

Datagrams are decoded by base.parse. base.LoopGuard logs and counts an exception (loop_faults) and lets the loop go on.

--- a/packages/hollycart-core/src/hollycart_core/base/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/base/__init__.py
@@ -40,6 +40,7 @@
 from hollycart_core.base._invariant import check_invariant
 from hollycart_core.base._invariant import invariant_checks
 from hollycart_core.base._loop import PeriodicTask
+from hollycart_core.base._loop_guard import LoopGuard
 from hollycart_core.base._loop_watch import LoopWatch
 from hollycart_core.base._outcome import Done
 from hollycart_core.base._outcome import NotRun
@@ -50,6 +51,7 @@
 from hollycart_core.base._work_meter import WorkMeter
 
 __all__ = [
+    "LoopGuard",
     "LoopWatch",
     "WorkMeter",
     "AttemptId",
--- a/packages/hollycart-core/src/hollycart_core/base/_loop.py
+++ b/packages/hollycart-core/src/hollycart_core/base/_loop.py
@@ -6,6 +6,7 @@
 from eventlet import greenthread
 
 from hollycart_core.base import _clock
+from hollycart_core.base import _loop_guard
 
 
 class PeriodicTask:
@@ -55,5 +56,6 @@
             try:
                 self.function()
             except Exception as exc:
+                _loop_guard.LoopGuard.faults += 1
                 self.on_error(exc)
             self.clock.sleep_ms(self.interval_ms)
--- a/packages/hollycart-core/src/hollycart_core/base/_loop_watch.py
+++ b/packages/hollycart-core/src/hollycart_core/base/_loop_watch.py
@@ -6,6 +6,7 @@
 from eventlet import greenthread
 
 from hollycart_core.base import _clock
+from hollycart_core.base import _loop_guard
 
 _INTERVAL_MS = 100.0
 
@@ -39,8 +40,10 @@
             self._thread = None
 
     def _run(self) -> None:
+        guard = _loop_guard.LoopGuard("measuring the event loop")
         while True:
             started_ms = self.clock.now_ms()
             self.clock.sleep_ms(_INTERVAL_MS)
             delay_ms = self.clock.now_ms() - started_ms - _INTERVAL_MS
-            self.on_round(max(0.0, delay_ms))
+            with guard.turn():
+                self.on_round(max(0.0, delay_ms))
--- a/packages/hollycart/src/hollycart/entry/_permit_client.py
+++ b/packages/hollycart/src/hollycart/entry/_permit_client.py
@@ -194,11 +194,13 @@
             self._wake.send()
 
     def _run_reports(self) -> None:
+        guard = base.LoopGuard("reporting permits")
         while True:
             self._wake.wait(timeout=_REPORT_INTERVAL_S)
             self.clock.sleep_ms(_REPORT_DELAY_MS)
             self._wake = event.Event()
-            self._send_reports()
+            with guard.turn():
+                self._send_reports()
 
     def _send_reports(self) -> None:
         now_ms = self.clock.now_ms()
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -353,6 +353,7 @@
             "cell_zones": float(len(self.peers.book.cell)),
             "other_cells": float(len(self.peers.book.other_cells)),
             "datagrams_malformed": float(self.peers.malformed),
+            "loop_faults": float(base.LoopGuard.faults),
             "load_updates_foreign": float(self.peers.foreign_updates),
             "endpoints": float(len(self.platform_state.endpoints)),
             "zones_evacuated": float(self.forwarder.evacuation.count()),
--- a/packages/hollycart/src/hollycart/gateway/_messages.py
+++ b/packages/hollycart/src/hollycart/gateway/_messages.py
@@ -114,7 +114,7 @@
     """Decodes a message.
 
     Raises:
-        msgspec.DecodeError: If `data` is not a valid message.
+        Exception: If `data` is not a valid message; callers use `base.parse`.
     """
     message: Message = _DECODER.decode(data)
     return message
--- a/packages/hollycart/src/hollycart/gateway/_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/_peers.py
@@ -9,7 +9,7 @@
 from absl import logging
 import eventlet
 from eventlet.green import socket
-import msgspec
+import result
 
 from hollycart import observe
 from hollycart.gateway import _address_book
@@ -405,10 +405,12 @@
         self._send(message, self.addresses())
 
     def _run_heartbeats(self) -> None:
+        guard = base.LoopGuard("sending heartbeats")
         while True:
-            self.send_heartbeat()
-            self._remove_lost_peers()
-            self.book.remove_expired(self.clock.now_ms())
+            with guard.turn():
+                self.send_heartbeat()
+                self._remove_lost_peers()
+                self.book.remove_expired(self.clock.now_ms())
             jitter = _HEARTBEAT_JITTER * (2.0 * self.rng.random() - 1.0)
             self.clock.sleep_ms(_HEARTBEAT_INTERVAL_MS * (1.0 + jitter))
 
@@ -481,6 +483,7 @@
 
     def _receive(self) -> None:
         work = base.WorkMeter("datagrams")
+        guard = base.LoopGuard("receiving datagrams")
         while True:
             work.add(1)
             try:
@@ -489,16 +492,20 @@
                 logging.info("receiving a datagram failed: %s", exc)
                 self.clock.sleep_ms(1.0)
                 continue
-            try:
-                message = _messages.decode(data)
-            except msgspec.DecodeError as exc:
-                self.malformed += 1
-                logging.warning(
-                    "malformed datagram dropped: ip=%s reason=%s", ip, exc
-                )
-                continue
-            if message.sender != self.name:
-                self._handle(message, ip)
+            with guard.turn():
+                self._handle_datagram(data, ip)
+
+    def _handle_datagram(self, data: bytes, ip: str) -> None:
+        parsed = base.parse(_messages.decode, data)
+        if isinstance(parsed, result.Err):
+            self.malformed += 1
+            logging.warning(
+                "malformed datagram dropped: ip=%s reason=%s",
+                ip,
+                parsed.err_value,
+            )
+        elif parsed.ok_value.sender != self.name:
+            self._handle(parsed.ok_value, ip)
 
     def _handle(self, message: _messages.Message, ip: str) -> None:
         now_ms = self.clock.now_ms()
--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -101,6 +101,7 @@
         self._started_ms = clock.now_ms()
         self._heard_peer = False
         self._unconfirmed_ms: float | None = None
+        self._guard = base.LoopGuard("learning the state")
 
     def start(self, peers: _peers.PeerExchange) -> None:
         """Starts polling.
@@ -196,23 +197,28 @@
 
     def _run(self) -> None:
         while True:
-            now_ms = self.clock.now_ms()
-            self.platform_state.remove_expired(now_ms)
-            if self._unconfirmed_ms is not None:
-                self._confirm(self._unconfirmed_ms)
-            self._log_freshness_change(now_ms)
-            due = now_ms - self._last_read_ms >= self.schedule.read_interval_ms
-            if due and self._should_read(now_ms):
-                self._last_read_ms = now_ms
-                if self._reads_in_flight < _MAX_CONCURRENT_READS:
-                    eventlet.spawn_n(self._read)
-            if now_ms - self._last_query_ms >= self.schedule.query_interval_ms:
-                self._last_query_ms = now_ms
-                self._query_peers(now_ms)
+            with self._guard.turn():
+                self._poll()
             self.clock.sleep_ms(
                 self.schedule.loop_interval_ms * (0.8 + 0.4 * self.rng.random())
             )
 
+    def _poll(self) -> None:
+        """Starts what is due: a read of the store, queries of the peers."""
+        now_ms = self.clock.now_ms()
+        self.platform_state.remove_expired(now_ms)
+        if self._unconfirmed_ms is not None:
+            self._confirm(self._unconfirmed_ms)
+        self._log_freshness_change(now_ms)
+        due = now_ms - self._last_read_ms >= self.schedule.read_interval_ms
+        if due and self._should_read(now_ms):
+            self._last_read_ms = now_ms
+            if self._reads_in_flight < _MAX_CONCURRENT_READS:
+                eventlet.spawn_n(self._read_guarded)
+        if now_ms - self._last_query_ms >= self.schedule.query_interval_ms:
+            self._last_query_ms = now_ms
+            self._query_peers(now_ms)
+
     def _log_freshness_change(self, now_ms: float) -> None:
         age_ms = self.platform_state.freshness.age_ms(now_ms)
         fresh = self.platform_state.freshness.is_fresh(now_ms)
@@ -271,6 +277,10 @@
             self.rng.sample(ips, min(_FIRST_QUERIES, len(ips)))
         )
 
+    def _read_guarded(self) -> None:
+        with self._guard.turn():
+            self._read()
+
     def _read(self) -> None:
         self._reads_in_flight += 1
         started_ms = self.clock.now_ms()
@@ -420,7 +430,11 @@
     def _schedule_fetch(self, ip: str) -> None:
         if not self._fetch_in_flight:
             self._fetch_in_flight = True
-            eventlet.spawn_n(self._fetch, ip)
+            eventlet.spawn_n(self._fetch_guarded, ip)
+
+    def _fetch_guarded(self, ip: str) -> None:
+        with self._guard.turn():
+            self._fetch(ip)
 
     def _fetch(self, ip: str) -> None:
         started_ms = self.clock.now_ms()
--- a/packages/hollycart/src/hollycart/gateway/_registration.py
+++ b/packages/hollycart/src/hollycart/gateway/_registration.py
@@ -44,6 +44,7 @@
         self._lease_id = 0
         self._failures = 0
         self._thread: Any = None
+        self._guard = base.LoopGuard("renewing the registration")
 
     def start(self) -> None:
         """Registers and starts to renew the lease."""
@@ -104,5 +105,6 @@
         self._thread = eventlet.spawn_after(delay_ms / 1000.0, self._run)
 
     def _run(self) -> None:
-        self.renew()
+        with self._guard.turn():
+            self.renew()
         self._schedule(self.next_delay_ms())
--- a/packages/hollycart/src/hollycart/gateway/tests/test_peers.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_peers.py
@@ -1,6 +1,7 @@
 import random
 import socket
 
+import eventlet
 import pytest
 
 from hollycart import gateway
@@ -135,3 +136,63 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.sendto(b"\xff\x00", ("127.0.0.2", second.port))
     eventually(lambda: second.live() == {"i1": True})
+
+
+def _valid_datagrams():
+    assignment = _messages.EndpointAssignment("e", 5, 7, 7)
+    attempt = _messages.AttemptAssignments(
+        "a", False, 5, 9, 99, 200, 1, [assignment]
+    )
+    return [
+        _messages.encode(message)
+        for message in (
+            _messages.Heartbeat("i2", 7, True, 3, [attempt], {"e": 2.0}, "z"),
+            _messages.LoadUpdate("i2", 7, [attempt], ["a"], ["b"]),
+            _messages.FreshnessReply("i2", 1.0, 5.0, 1, 1, 1),
+            _messages.EndpointSuspected("i2", "e"),
+        )
+    ]
+
+
+def _mutate(rng, data):
+    position = rng.randrange(len(data))
+    kind = rng.randrange(4)
+    if kind == 0:
+        return data[:position]
+    if kind == 1:
+        return b"\x91" * 5000
+    odd = rng.choice([b"\xa2\xff\xff", b"\xcf" + b"\xff" * 8, b"\xc0", b"\xcb"])
+    return data[:position] + odd + data[position + 1 :]
+
+
+def test_malformed_datagrams_do_not_end_the_exchange(pair, eventually):
+    """Guards against text that is not UTF-8, which ended the receiver."""
+    first, second, _, suspects = pair
+    rng = random.Random(1)
+    before = second.malformed
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.3", 0))
+        target = ("127.0.0.2", second.port)
+        sock.sendto(b"\x94\xa1s\xa2\xff\xff\x01\x02", target)
+        eventually(lambda: second.malformed > before)
+        for _ in range(300):
+            sock.sendto(_mutate(rng, rng.choice(_valid_datagrams())), target)
+            eventlet.sleep(0)
+    first.broadcast_suspect("last")
+    eventually(lambda: "last" in suspects)
+
+
+def test_fault_of_a_handler_does_not_end_the_exchange(pair, eventually):
+    """Guards against a handler's error that stops an instance from hearing."""
+    first, second, _, suspects = pair
+
+    def fail(endpoint):
+        second.on_endpoint_suspected = suspects.append
+        raise KeyError(endpoint)
+
+    second.on_endpoint_suspected = fail
+    faults = base.LoopGuard.faults
+    first.broadcast_suspect("first")
+    eventually(lambda: base.LoopGuard.faults > faults)
+    first.broadcast_suspect("second")
+    eventually(lambda: "second" in suspects)
--- a/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_reader.py
@@ -453,3 +453,23 @@
         store.contents = kv.RangeResult(revision + 1, items(*zones))
         reader._read()
     assert len(changes) == 4
+
+
+def test_unforeseen_error_does_not_end_the_polling(reader, store, eventually):
+    """Guards against one read that keeps an instance from ever learning."""
+    reader.clock = base.SystemClock()
+    reader.schedule = _read_times.ReadSchedule(read_interval_ms=1.0)
+    reads = []
+
+    def fail_once(prefix):
+        reads.append(prefix)
+        if len(reads) < 3:
+            raise ZeroDivisionError
+        return kv.RangeResult(1, items("a"))
+
+    store.range = fail_once
+    faults = base.LoopGuard.faults
+    reader.start(reader._peers)
+    eventually(lambda: reader.platform_state.snapshot is not None)
+    reader.close()
+    assert base.LoopGuard.faults > faults
--- a/packages/hollycart/src/hollycart/peers/_bridge.py
+++ b/packages/hollycart/src/hollycart/peers/_bridge.py
@@ -9,6 +9,8 @@
 import eventlet
 from eventlet import hubs
 
+from hollycart_core import base
+
 _READ_BYTES = 4096
 
 
@@ -56,6 +58,7 @@
             pass
 
     def _run(self) -> None:
+        guard = base.LoopGuard("running callbacks")
         while True:
             hubs.trampoline(self._read_fd, read=True)
             try:
@@ -63,7 +66,8 @@
             except BlockingIOError:
                 continue
             while self._callbacks:
-                self._callbacks.popleft()()
+                with guard.turn():
+                    self._callbacks.popleft()()
 
 
 class LoopExecutor(futures.Executor):
