--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -411,7 +411,7 @@
         keep_alive_ms = _DEFAULT_KEEP_ALIVE_MS
         for part in _messages.find_header(headers, b"keep-alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
+            if name.lower() == "timeout" and value.isdecimal():
                 keep_alive_ms = float(value) * 1000.0
         # Reuse ends at half the peer's timeout, so that the next request
         # arrives before the peer closes the connection.
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_client.py
@@ -80,3 +80,11 @@
     conn = connections.ClientConnection("127.0.0.1:1", clock)
     with pytest.raises(base.EndpointUnreachableError):
         conn.start(200)
+
+
+@pytest.mark.parametrize("timeout", [b"\xb2", b"-1", b"9" * 400, b""])
+def test_odd_keep_alive_timeout_is_no_error(exchange, timeout):
+    """Guards against a head of an endpoint that ends a request with 500."""
+    head = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=%s\r\n" % timeout
+    conn = exchange([head + b"Content-Length: 1\r\n\r\na"], "keep")
+    assert conn.read_head(1000).status == 200
