Refusal written again is not taken for the next request's answer

Cause: a refusal without a request id counted as the answer to the request that the connection carried, also on a kept connection, where it may be a copy of the refusal of an earlier request.

Evidence: with scripted endpoints that write a refusal or a 421 again before the answer, the caller got 503 while the endpoint ran its request.

A response without an id belongs to a request only if the connection has carried no other response; otherwise it is skipped, and so is what it says of the endpoint. Where it does belong, and is no refusal, the attempt fails at once instead of at the deadline. Retries use new connections, since their attempts share the id of the request.

test_refusal_written_again_is_not_the_answer_to_the_next_request (4 of 8 cases), test_retry_uses_a_new_connection, test_answer_without_an_id_and_then_silence_fails_at_once and test_resume_answered_without_an_id_and_then_silence_ends_at_once failed before.

--- a/packages/hollycart-core/src/hollycart_core/connections/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_client.py
@@ -96,6 +96,14 @@
         """Whether this side has connected and not closed the connection."""
         return self._sock is not None
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the connection has carried no other response.
+
+        On a new one, what arrives can only be the response to its request.
+        """
+        return self.exchange_count == 1 and not self._skipped_foreign
+
     def is_reusable(self, now_ms: float) -> bool:
         """Returns whether the idle connection can carry another request.
 
--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -244,8 +244,10 @@
     ) -> tuple[connections.ResponseHead, _codec.ResponseMeta]:
         """Reads the head of the response to this request.
 
-        Responses to other requests are logged and skipped. A rejection without
-        a request id counts as the response to this request.
+        Responses to other requests are logged and skipped. One without a
+        request id may be a copy of an earlier response, unless the connection
+        is new; then the endpoint has answered, and the request either was not
+        executed or has failed.
         """
         for _ in range(_MAX_MISMATCHED_RESPONSES):
             try:
@@ -256,11 +258,21 @@
                 end_ms = request.deadline_ms
                 head = conn.read_head(end_ms - self.clock.now_ms())
             response = self.notices.record(
-                chosen.endpoint, head, sent_ms, request.meta.request_id
+                chosen.endpoint,
+                head,
+                sent_ms,
+                request.meta.request_id,
+                conn.is_new,
             )
-            if response.request_id == request.meta.request_id:
-                return head, response
-            if response.not_executed and not response.request_id:
+            if response.belongs_to(request.meta.request_id, conn.is_new):
+                if (
+                    response.request_id != request.meta.request_id
+                    and not response.not_executed
+                ):
+                    raise base.EndpointFailedError(
+                        f"{chosen.endpoint.id} answered {head.status} without "
+                        "a request id"
+                    )
                 return head, response
             self.log.write(
                 observe.decisions.ForeignAnswer(
--- a/packages/hollycart/src/hollycart/gateway/_codec.py
+++ b/packages/hollycart/src/hollycart/gateway/_codec.py
@@ -95,6 +95,24 @@
     misdirected: bool = False
     cold_left_ms: float | None = None
 
+    def belongs_to(self, request_id: str, is_new: bool) -> bool:
+        """Returns whether this is the response to a request.
+
+        The id tells. A response without one may be a copy of an earlier one.
+
+        Args:
+            request_id: Id of the request; empty if it had none.
+            is_new: Whether its connection has carried no other response.
+
+        Example:
+            >>> response = ResponseMeta("", False, True, None, None)
+            >>> response.belongs_to("a", True), response.belongs_to("a", False)
+            (True, False)
+        """
+        if self.request_id:
+            return self.request_id == request_id
+        return is_new
+
 
 class EndpointLoad(NamedTuple):
     """Load as an endpoint reports it.
--- a/packages/hollycart/src/hollycart/gateway/_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/_forwarder.py
@@ -434,7 +434,7 @@
                 self.clock.sleep_ms(chosen.send_delay_ms)
             if chosen.reservations:
                 self.reserver.reserve(attempt_id, chosen.reservations)
-            conn = self._connect(endpoint, request)
+            conn = self._connect(endpoint, request, progress)
             self.admission.check_before_send(
                 request, (endpoint, *chosen.helpers)
             )
@@ -495,13 +495,27 @@
         return now_ms
 
     def _connect(
-        self, endpoint: placement.Endpoint, request: _job.AdmittedRequest
+        self,
+        endpoint: placement.Endpoint,
+        request: _job.AdmittedRequest,
+        progress: _job.Progress,
     ) -> connections.ClientConnection:
+        """Returns a connection to an endpoint.
+
+        On a kept one, copies of earlier responses may arrive. Those to an
+        attempt of the same request, or to a request without an id, could not
+        be told from the response.
+        """
         remaining_ms = request.deadline_ms - self.clock.now_ms()
+        may_reuse = (
+            request.route.repeatable
+            and not progress.attempts_sent
+            and bool(request.meta.request_id)
+        )
         return self.pool.acquire(
             endpoint.address,
             min(_CONNECT_TIMEOUT_MS, remaining_ms),
-            new_only=not request.route.repeatable,
+            new_only=not may_reuse,
         )
 
     def _fail_request(
--- a/packages/hollycart/src/hollycart/gateway/_notices.py
+++ b/packages/hollycart/src/hollycart/gateway/_notices.py
@@ -78,6 +78,7 @@
         head: connections.ResponseHead,
         sent_ms: float,
         request_id: str = "",
+        is_new: bool = True,
     ) -> _codec.ResponseMeta:
         """Records what the head of an endpoint's response asks for.
 
@@ -86,6 +87,7 @@
             head: Head of its response.
             sent_ms: Instant at which the request was sent.
             request_id: Id of the request; empty if it had none.
+            is_new: Whether the connection has carried no other response.
 
         Returns:
             The decoded head.
@@ -96,23 +98,20 @@
         ):
             self._log_leaving(endpoint.id, endpoint.born_ms, "response")
             self.announce_leaving(endpoint.id, endpoint.born_ms)
+        # The time of a response to another request is not known.
+        if not response.belongs_to(request_id, is_new):
+            return response
         if (
             head.status == _UNAVAILABLE_STATUS
             and response.retry_after_ms is not None
         ):
             self._record_pause(endpoint, response.retry_after_ms)
         self.on_response(endpoint, response)
-        if (
-            response.sealed
-            and response.request_id == request_id
-            and self.restrictions.record_present(endpoint)
-        ):
+        if response.sealed and self.restrictions.record_present(endpoint):
             logging.info("%s responds again under its id", endpoint.id)
-        # The time of a response to another request is not known.
-        if response.request_id == request_id or not response.request_id:
-            self._record_limit(endpoint, response, sent_ms)
-            if self.cold is not None and response.cold_left_ms is not None:
-                self.cold.record(endpoint, response.cold_left_ms, sent_ms)
+        self._record_limit(endpoint, response, sent_ms)
+        if self.cold is not None and response.cold_left_ms is not None:
+            self.cold.record(endpoint, response.cold_left_ms, sent_ms)
         return response
 
     def limits_rate(self, endpoint: placement.Endpoint) -> bool:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -824,3 +824,111 @@
     ]
     system.apply_state(listed_endpoints=lost + system.listed_endpoints)
     assert system.call("/once/").status == status
+
+
+_COPIES = {
+    "without an id": b"HTTP/1.1 503 \r\nNot-Run: 1\r\nPause: 9\r\n",
+    "with the former id": b"HTTP/1.1 503 \r\nId: r1\r\nNot-Run: 1\r\n",
+    "misdirected": b"HTTP/1.1 421 \r\nNot-Run: 1\r\n",
+    "a success": b"HTTP/1.1 200 \r\nSeal: 1\r\n",
+}
+
+
+@pytest.mark.parametrize("path", ["/again/", "/stream/"])
+@pytest.mark.parametrize("copy", _COPIES.values(), ids=_COPIES)
+def test_refusal_written_again_is_not_the_answer_to_the_next_request(
+    system, endpoints, path, copy
+):
+    """Guards against a copy on a kept connection that is taken for an answer.
+
+    The request was said not to have run, or ran at a second endpoint.
+    """
+
+    def handler(exchange, fields):
+        if len(endpoints[0].requests) == 1:
+            exchange.respond(503, (*seal(fields), (b"Not-Run", b"1")), b"")
+            return
+        exchange._connection._sock.sendall(copy + b"Content-Length: 0\r\n\r\n")
+        eventlet.sleep(0.05)
+        exchange.respond(200, seal(fields), b"id: 1\ndata: 1\n\n")
+
+    system.apply_state(listed_endpoints=system.listed_endpoints[:1])
+    endpoints[0].handler = handler
+    assert system.call(path, tokens=5000).status == 503
+    second = system.call(path, id="r2", tokens=5000)
+    assert second.status == 200
+    assert len(endpoints[0].requests) == 2
+
+
+@pytest.mark.parametrize("path", ["/once/", "/again/"])
+def test_refusal_without_an_id_counts_on_a_new_connection(
+    system, endpoints, answers, path
+):
+    script(endpoints, answers.reject)
+    system.apply_state()
+    response = system.call(path)
+    assert response.status == 503
+    assert connections.find_header(response.headers, b"retry-after")
+
+
+def test_retry_uses_a_new_connection(system, endpoints, answers):
+    """Guards against a copy of the refusal of an earlier attempt.
+
+    Both attempts have the id of the request, which cannot tell them apart.
+    """
+    script(endpoints, answers.complete)
+    for listed in system.listed_endpoints:
+        system.apply_state(listed_endpoints=[listed])
+        assert system.call("/again/", id="r0").status == 200
+    system.apply_state()
+    before = [len(e.requests) for e in endpoints]
+    accepted = [0, 0]
+
+    def reject_once(exchange, fields):
+        if sum(len(e.requests) for e in endpoints) == sum(before) + 1:
+            exchange.respond(503, (*seal(fields), (b"Not-Run", b"1")), b"")
+            return
+        number = [e.requests[-1][1] is fields for e in endpoints].index(True)
+        accepted[number] = exchange._connection
+        exchange.respond(200, seal(fields), b"done")
+
+    connections_before = {
+        id(c) for e in endpoints for c in e.server._connections
+    }
+    script(endpoints, reject_once)
+    assert system.call("/again/", id="r9").status == 200
+    (second,) = [c for c in accepted if c]
+    assert id(second) not in connections_before
+
+
+@pytest.mark.parametrize("path", ["/once/", "/fragile/"])
+def test_answer_without_an_id_and_then_silence_fails_at_once(
+    system, endpoints, path
+):
+    """Guards against a caller that waits until its deadline for nothing."""
+
+    def handler(exchange, fields):
+        exchange.start(200, ((b"Seal", b"1"),), 5)
+        eventlet.sleep(30)
+
+    system.apply_state()
+    script(endpoints, handler)
+    assert system.call(path, tokens=5000, wait=30000).status == 502
+
+
+def test_resume_answered_without_an_id_and_then_silence_ends_at_once(
+    system, endpoints, answers
+):
+    """Guards against a caller that waits until its deadline for nothing."""
+
+    def handler(exchange, fields):
+        if not fields[b"resume"]:
+            answers.events(1, 2, end=False)(exchange, fields)
+            return
+        exchange.start(200, ((b"Seal", b"1"),), 5)
+        eventlet.sleep(30)
+
+    system.apply_state()
+    script(endpoints, handler)
+    with pytest.raises(base.EndpointFailedError, match="incomplete chunked"):
+        system.call("/stream/", tokens=5000, wait=30000)
