Answer that does not resume a stream stays out of it

Cause: any sealed success of a later attempt was relayed as the rest of the stream: 200 with another content type, 204, 205, 206, and events from the first one.

A response goes on with a stream only with its status and content type, and with an event of a later id than the last one. Otherwise the attempt fails.

--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -137,6 +137,11 @@
             raise base.EndpointFailedError(
                 f"{chosen.endpoint.id} answered {head.status} without a seal"
             )
+        if progress.response_started and not _continues(progress, head):
+            raise _failures.NotResumedError(
+                f"{chosen.endpoint.id} answered {head.status} "
+                f"{_media_type(head)!r} instead of resuming the stream"
+            )
         progress.responded_by = chosen.endpoint.id
         progress.framing = head.framing
         if success and request.route.kind is routing.RouteKind.STREAMING:
@@ -157,11 +162,6 @@
             raise base.EndpointFailedError(
                 f"{chosen.endpoint.id} answered {head.status}"
             )
-        if progress.response_started:
-            raise base.EndpointFailedError(
-                f"{chosen.endpoint.id} answered {head.status} instead of "
-                "resuming the stream"
-            )
         progress.status = head.status
         request.exchange.respond_parts(
             head.status, connections.end_to_end_headers(head.headers), parts
@@ -347,7 +347,7 @@
         listener: "EventListener",
     ) -> None:
         events = progress.events
-        events.discard_partial()
+        events.start_attempt()
         limit_bytes = max(
             _MIN_STREAM_LIMIT_BYTES,
             _STREAM_BYTES_PER_TOKEN * request.meta.max_output_tokens,
@@ -431,6 +431,7 @@
         if not progress.response_started:
             progress.response_started = True
             progress.status = head.status
+            progress.media_type = _media_type(head)
             request.exchange.start(
                 head.status,
                 connections.end_to_end_headers(head.headers),
@@ -445,6 +446,20 @@
         """Called when one or more complete events have arrived."""
 
 
+def _media_type(head: connections.ResponseHead) -> str:
+    """Returns the type of a body, without parameters."""
+    value = connections.find_header(head.headers, b"content-type")
+    return value.partition(";")[0].strip().lower()
+
+
+def _continues(progress: _job.Progress, head: connections.ResponseHead) -> bool:
+    """Returns whether a response may go on with one that has started."""
+    return (head.status, _media_type(head)) == (
+        progress.status,
+        progress.media_type,
+    )
+
+
 def _rejection_failure(
     chosen: placement.Placement,
     head: connections.ResponseHead,
--- a/packages/hollycart/src/hollycart/gateway/_events.py
+++ b/packages/hollycart/src/hollycart/gateway/_events.py
@@ -6,6 +6,7 @@
 from hollycart_core import connections
 
 _ID_FIELD = b"id:"
+_DATA_FIELD = b"data:"
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _MAX_EVENT_BYTES = 1 << 20
 # Pieces of one event. An event usually arrives in one.
@@ -33,9 +34,23 @@
         self.count = 0
         self._partial = bytearray()
         self._pieces = 0
+        self._awaits_resume = False
+
+    def start_attempt(self) -> None:
+        """Prepares for the response of another attempt.
+
+        It has to go on after `last_id`, if there is one.
+        """
+        self.discard_partial()
+        self._awaits_resume = bool(self.last_id)
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the events that `data` completes."""
+        """Returns the events that `data` completes.
+
+        Raises:
+            NotResumedError: If the first event is not a later one than that
+                after which the stream was to be resumed.
+        """
         partial = self._partial
         searched = max(0, len(partial) - _END_BYTES + 1)
         partial += data
@@ -94,7 +109,31 @@
         return rest
 
     def _record_event(self, event: bytes) -> None:
-        self.count += 1
+        event_id = ""
+        has_data = False
         for line in event.splitlines():
+            has_data |= line.startswith(_DATA_FIELD)
             if line.startswith(_ID_FIELD):
-                self.last_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
+                event_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
+        if self._awaits_resume and (event_id or has_data):
+            if not _is_later(event_id, self.last_id):
+                raise _failures.NotResumedError(
+                    f"event '{event_id}' after event '{self.last_id}'"
+                )
+            self._awaits_resume = False
+        self.count += 1
+        self.last_id = event_id or self.last_id
+
+
+def _is_later(event_id: str, last_id: str) -> bool:
+    """Returns whether an event may follow another one; their ids increase.
+
+    Example:
+        >>> _is_later("10", "9"), _is_later("9", "9"), _is_later("", "9")
+        (True, False, False)
+    """
+    if event_id.isdecimal() and last_id.isdecimal():
+        # Without a conversion, which is limited to 4,300 digits.
+        first, second = event_id.lstrip("0"), last_id.lstrip("0")
+        return (len(first), first) > (len(second), second)
+    return event_id not in ("", last_id)
--- a/packages/hollycart/src/hollycart/gateway/_failures.py
+++ b/packages/hollycart/src/hollycart/gateway/_failures.py
@@ -26,6 +26,12 @@
     code = "stream_truncated"
 
 
+class NotResumedError(base.EndpointFailedError):
+    """An endpoint did not go on with a stream where it had broken off."""
+
+    code = "not_resumed"
+
+
 class HelperRejectedError(base.NotExecutedError):
     """An endpoint rejected a request because of one of its helpers.
 
--- a/packages/hollycart/src/hollycart/gateway/_job.py
+++ b/packages/hollycart/src/hollycart/gateway/_job.py
@@ -63,6 +63,7 @@
         last_event_ms: Instant of the last event; None before the first.
         responded_by: Endpoint whose response is relayed.
         status: HTTP status of the response; 0 before it.
+        media_type: Content type of the response; empty before it.
         framing: How the endpoint declared the end of the response; empty
             before it.
         trailing_bytes: Bytes relayed after the last complete event.
@@ -88,6 +89,7 @@
         self.last_event_ms: float | None = None
         self.responded_by = ""
         self.status = 0
+        self.media_type = ""
         self.framing = ""
         self.trailing_bytes = 0
         self.received_bytes = 0
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -932,3 +932,94 @@
     script(endpoints, handler)
     with pytest.raises(base.EndpointFailedError, match="incomplete chunked"):
         system.call("/stream/", tokens=5000, wait=30000)
+
+
+def _raw(status, body, headers=b"", framed=True):
+    """Returns a handler that writes a sealed answer to a resumed stream."""
+
+    def handler(exchange, fields):
+        length = b"Content-Length: %d\r\n" % len(body) if framed else b""
+        head = b"HTTP/1.1 %d \r\nId: r1\r\nSeal: 1\r\n" % status
+        sock = exchange._connection._sock
+        sock.sendall(head + headers + length + b"\r\n" + body)
+        exchange.abort()
+
+    return handler
+
+
+_EVENTS = b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+_NOT_RESUMED = {
+    "failure": _raw(500, b"engine failed\n\n"),
+    "failure without a length": _raw(500, b"engine failed\n\n", framed=False),
+    "refusal": _raw(503, b"full\n\n", b"Not-Run: 1\r\n"),
+    "unknown": _raw(404, b"no such session\n\n"),
+    "moved": _raw(302, b"", b"Location: /x\r\n"),
+    "no content": _raw(204, b"", framed=False),
+    "reset content": _raw(205, b""),
+    "part": _raw(206, b"id: 3\ndata: 3\n\n"),
+    "error as a success": _raw(
+        200, b'{"e": 1}\n\n', b"Content-Type: application/json\r\n"
+    ),
+    "from the first event": _raw(200, _EVENTS + b"id: 3\ndata: 3\n\n"),
+    "the last event again": _raw(200, b"id: 2\ndata: 2\n\n"),
+    "event without an id": _raw(200, b"data: engine failed\n\n"),
+}
+
+
+@pytest.mark.parametrize("second", _NOT_RESUMED.values(), ids=_NOT_RESUMED)
+def test_answer_that_does_not_resume_stays_out_of_the_stream(
+    system, endpoints, answers, second
+):
+    """Guards against an error's text, or events twice, within a stream."""
+
+    def handler(exchange, fields):
+        if exchange.head.target == b"/load":
+            exchange.respond(200, (), b"[0, 0]")
+        elif fields[b"resume"]:
+            second(exchange, fields)
+        else:
+            answers.events(1, 2, end=False)(exchange, fields)
+
+    system.apply_state()
+    script(endpoints, handler)
+    conn = system.open("/stream/", tokens=5000)
+    assert conn.read_head(3000).status == 200
+    received = b""
+    with pytest.raises(base.EndpointFailedError):
+        while (data := conn.read_data(3000)) is not None:
+            received += data
+    assert received == _EVENTS
+
+
+def test_stream_resumed_with_the_same_content_type_is_complete(
+    system, endpoints, answers
+):
+    def handler(exchange, fields):
+        start = int(fields[b"resume"] or 0)
+        kind = b"text/event-stream" + (b"; charset=utf-8" if start else b"")
+        exchange.start(200, (*seal(fields), (b"Content-Type", kind)), None)
+        exchange.write(b"id: %d\ndata: x\n\n" % (start + 1))
+        exchange.finish() if start else exchange.abort()
+
+    system.apply_state()
+    script(endpoints, handler)
+    body = system.call("/stream/", tokens=5000).body
+    assert body == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+
+
+def test_caller_that_resumes_gets_no_event_twice(system, endpoints, answers):
+    """Guards against an engine that ignores where a caller goes on."""
+    calls = []
+
+    def handler(exchange, fields):
+        calls.append(fields[b"resume"])
+        first = 1 if len(calls) == 1 else 3
+        exchange.respond(
+            200, seal(fields), _EVENTS if first == 1 else b"id: 3\ndata: 3\n\n"
+        )
+
+    system.apply_state()
+    script(endpoints, handler)
+    response = system.call("/stream/", tokens=5000, after=2)
+    assert response.body == b"id: 3\ndata: 3\n\n"
+    assert calls == ["2", "2"]
