Rejected version of the weights says nothing of the engine

Cause: 421 also means that the weights have another version than the caller expects. Every 421 was taken for another engine at the address: the entry was marked as out of date on all instances, a crash was recorded and what ran there was aborted.

Evidence: endpoint_replaced lines at each such 421, unchanged entries.

--- a/packages/hollycart/src/hollycart/gateway/_attempt.py
+++ b/packages/hollycart/src/hollycart/gateway/_attempt.py
@@ -131,7 +131,7 @@
         if response.not_executed:
             progress.possible_executions -= 1
             self._skip_rejection_body(conn)
-            raise _rejection_failure(chosen, head, response)
+            raise _rejection_failure(request, chosen, head, response)
         success = 200 <= head.status < 300
         if success and not response.sealed:
             raise base.EndpointFailedError(
@@ -461,6 +461,7 @@
 
 
 def _rejection_failure(
+    request: _job.AdmittedRequest,
     chosen: placement.Placement,
     head: connections.ResponseHead,
     response: _codec.ResponseMeta,
@@ -472,7 +473,8 @@
             return _failures.HelperRejectedError(
                 f"{detail} because of helper {helper.id}", helper.id
             )
-    if response.misdirected:
+    # An endpoint with another version of the weights answers in the same way.
+    if response.misdirected and not request.meta.pins_version:
         return _failures.EndpointReplacedError(detail, _failures.RETRY_AFTER_MS)
     # The endpoint's Retry-After binds this instance, not the caller: another
     # endpoint may accept the request sooner.
--- a/packages/hollycart/src/hollycart/gateway/_codec.py
+++ b/packages/hollycart/src/hollycart/gateway/_codec.py
@@ -26,6 +26,8 @@
         shared_segments: Ids of the segments of the prompt that other prompts
             may share, in order; without the last one, which belongs to this
             prompt.
+        pins_version: Whether the caller asks for a version of the weights.
+            Endpoints with another one reject the request.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     last_event_id: str
     max_output_tokens: int = 0
     shared_segments: tuple[str, ...] = ()
+    pins_version: bool = False
 
 
 class AttemptMeta(NamedTuple):
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -38,6 +38,7 @@
             shared_segments=tuple(
                 filter(None, fields.get(b"segments", "").split(","))
             ),
+            pins_version=b"version" in fields,
         )
 
     def encode_attempt(self, head, attempt):
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -1023,3 +1023,48 @@
     response = system.call("/stream/", tokens=5000, after=2)
     assert response.body == b"id: 3\ndata: 3\n\n"
     assert calls == ["2", "2"]
+
+
+def test_rejected_version_says_nothing_of_the_endpoint(
+    system, endpoints, answers, eventually
+):
+    """Guards against a pinned version that takes endpoints out of use.
+
+    Streams that run at an endpoint when it rejects the version go on.
+    """
+    released = []
+
+    def handler(exchange, fields):
+        if b"version" in fields:
+            exchange.respond(421, (*seal(fields), (b"Not-Run", b"1")), b"")
+            return
+        exchange.start(200, seal(fields), None)
+        exchange.write(b"id: 1\ndata: 1\n\n")
+        while not released:
+            eventlet.sleep(0.01)
+        exchange.write(b"id: 2\ndata: 2\n\n")
+        exchange.finish()
+
+    system.apply_state()
+    script(endpoints, handler)
+    running = [
+        system.open("/fragile/", id=f"s{i}", tokens=5000) for i in range(2)
+    ]
+    for conn in running:
+        assert conn.read_head(3000).status == 200
+    for number in range(4):
+        pinned = system.call(
+            "/stream/", id=f"p{number}", tokens=5000, version=1
+        )
+        assert pinned.status == 503
+    released.append(True)
+    for conn in running:
+        assert conn.read_body(3000, 1000).endswith(b"id: 2\ndata: 2\n\n")
+    for number in range(4):
+        sound = system.call("/stream/", id=f"r{number}", tokens=5000)
+        assert sound.status == 200
+    now_ms = system.clock.now_ms()
+    assert all(
+        system.forwarder.restrictions.accepts(e, now_ms)
+        for e in system.listed_endpoints
+    )
