Abort of an endpoint's attempts does not meet the next attempt

A request that got 421 was itself aborted in its next attempt, with the reason endpoint_lost, and tried once more: one arrival more of the retry budget, or a failure where no attempt was left.

Cause: the abort was scheduled while the attempt was still registered, and ran after it had ended. It now checks when it runs that the attempt is still registered.

test_rejection_does_not_abort_the_next_attempt_of_its_request failed before (repeated for endpoint_replaced and then endpoint_lost).

--- a/packages/hollycart/src/hollycart/gateway/_waiting.py
+++ b/packages/hollycart/src/hollycart/gateway/_waiting.py
@@ -49,10 +49,16 @@
 
     def abort_dependents(self, endpoint: str) -> None:
         """Aborts the attempts that depend on an endpoint."""
-        for attempt_id, (thread, endpoints) in list(self._threads.items()):
+        for attempt_id, (_, endpoints) in self._threads.items():
             if endpoint in endpoints:
-                self.remove(attempt_id)
-                exc = _failures.EndpointLostError(
-                    f"{endpoint} became unreachable"
-                )
-                eventlet.spawn_n(greenthread.kill, thread, exc)
+                eventlet.spawn_n(self._abort, attempt_id, endpoint)
+
+    def _abort(self, attempt_id: str, endpoint: str) -> None:
+        """Aborts an attempt, unless it has ended since this was scheduled.
+
+        Its thread would meet the exception in whatever it does next.
+        """
+        thread, _ = self._threads.pop(attempt_id, (None, None))
+        if thread is not None:
+            exc = _failures.EndpointLostError(f"{endpoint} became unreachable")
+            greenthread.kill(thread, exc)
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -1068,3 +1068,18 @@
         system.forwarder.restrictions.accepts(e, now_ms)
         for e in system.listed_endpoints
     )
+
+
+def test_rejection_does_not_abort_the_next_attempt_of_its_request(
+    system, endpoints, answers
+):
+    """Guards against an abort that meets the request which caused it."""
+    script(endpoints, answers.misdirected, answers.events(1, 2))
+    system.apply_state()
+    assert system.call("/stream/", tokens=5000).status == 200
+    repeated = [
+        d.reason
+        for d in system.log.decisions
+        if isinstance(d, observe.decisions.Repeated)
+    ]
+    assert repeated == ["endpoint_replaced"]
