--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -276,6 +276,9 @@
         )
 
     def _apply_change(self) -> None:
+        self.forwarder.notices.record_listed(
+            self.platform_state.endpoints.values()
+        )
         self.forwarder.cold.follow_state()
         self._apply_limits()
         self._apply_cells()
--- a/packages/hollycart/src/hollycart/gateway/_notices.py
+++ b/packages/hollycart/src/hollycart/gateway/_notices.py
@@ -1,6 +1,7 @@
 """What endpoints ask for in the heads of their responses."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 
 from absl import logging
@@ -162,6 +163,15 @@
         if self.restrictions.record_leaving(endpoint_id, born_ms):
             self._log_leaving(endpoint_id, born_ms, sender)
 
+    def record_listed(self, endpoints: Iterable[placement.Endpoint]) -> None:
+        """Records the endpoints that are listed as leaving.
+
+        Their entries may be overwritten before they end.
+        """
+        for endpoint in endpoints:
+            if endpoint.leaving:
+                self.restrictions.record_leaving(endpoint.id, endpoint.born_ms)
+
     def record_announced_limit(
         self, statement: placement.RateStatement, sender: str
     ) -> None:
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -3,6 +3,7 @@
 import random
 import socket
 import struct
+import types
 
 import eventlet
 import pytest
@@ -440,3 +441,43 @@
         raise AssertionError("condition does not hold")
 
     return wait
+
+
+@pytest.fixture
+def instance(plain_codec, free_port):
+    """An instance that is not started, with a bound of 5 s."""
+    ip, clock = "127.0.0.1", base.SystemClock()
+    cfg = gateway.GatewaySettings(
+        name="me",
+        ip=ip,
+        zone="z",
+        front_address=f"{ip}:{free_port()}",
+        ready_address=f"{ip}:{free_port()}",
+        peer_port=free_port(),
+        metrics_port=0,
+        seed_ips=(),
+        store_address="",
+        lease_min_ms=1000.0,
+        config_apply_ms=2000.0,
+        revoke_ms=5000.0,
+        drain_ms=2000.0,
+        grace_ms=8000.0,
+        retry_ratio=0.2,
+        retry_window_ms=10000.0,
+        retry_slack=10.0,
+        stall_ms=1500.0,
+        hold_max_ms=20000.0,
+        policy=gateway.PolicySettings(evacuate_ms=5000.0),
+    )
+    decoder = types.SimpleNamespace(
+        encode_peer=lambda name, address: kv.Put(name, b"")
+    )
+    return gateway.Gateway(
+        cfg,
+        None,
+        plain_codec,
+        decoder,
+        observe.DecisionLog("me", clock),
+        clock,
+        random.Random(1),
+    )
--- a/packages/hollycart/src/hollycart/gateway/tests/test_notices.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_notices.py
@@ -1,9 +1,14 @@
 import pytest
 
+from hollycart import gateway
 from hollycart import observe
+from hollycart.gateway import _history
 from hollycart.gateway import _messages
 from hollycart_core import base
 from hollycart_core import connections
+from hollycart_core import kv
+from hollycart_core import placement
+from hollycart_core import routing
 
 PATHS = ["/once/", "/again/"]
 
@@ -144,3 +149,32 @@
     request = type("Request", (), {"team": None})()
     with pytest.raises(base.NotExecutedError, match="e1 is leaving"):
         system.forwarder.admission.check_before_send(request, (primary, helper))
+
+
+def _apply_listed(instance, revision, *endpoints):
+    snapshot = gateway.Snapshot(
+        revision, 1, routing.RoutingConfig(1, [], []), endpoints, {}, revision
+    )
+    raw = _history.RawState(kv.RangeResult(revision, ()), revision)
+    now_ms = instance.clock.now_ms()
+    instance.platform_state.apply(raw, snapshot, now_ms)
+    instance._apply_change()
+
+
+@pytest.mark.parametrize("vanishes", [False, True])
+def test_endpoint_listed_as_leaving_stays_so_for_its_incarnation(
+    instance, vanishes
+):
+    """Guards against an entry that is overwritten while its engine drains."""
+    ready = placement.Endpoint("e", "127.0.0.1:1", "s", "z", 8, born_ms=5)
+    accepts = instance.forwarder.restrictions.accepts
+    _apply_listed(instance, 1, ready)
+    assert accepts(ready, instance.clock.now_ms())
+    _apply_listed(instance, 2, ready._replace(leaving=True))
+    if vanishes:
+        _apply_listed(instance, 3)
+    _apply_listed(instance, 4, ready)
+    assert not accepts(ready, instance.clock.now_ms())
+    reborn = ready._replace(born_ms=6)
+    _apply_listed(instance, 5, reborn)
+    assert accepts(reborn, instance.clock.now_ms())
