Kept connections follow changed limits

Cause: a connection read the limits before it waited for the next request, and its parser had the limit on heads of the time of the accept.

Limits are read after each wait: those at the complete head hold for the body, the limit on heads is checked here and not by the parser, and a longer idle timeout reaches connections that are idle already.

--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -3,6 +3,7 @@
 It reads the requests one after the other and sends what the handler responds.
 """
 
+import sys
 from typing import Any
 
 from absl import logging
@@ -219,9 +220,9 @@
             raise _exchange.CallerGoneError(str(exc)) from exc
 
     def _new_parser(self) -> Any:
-        return h11.Connection(
-            h11.SERVER, self.server.limits.max_header_bytes + _READ_BYTES
-        )
+        # The limits may change while the connection is open, the parser's own
+        # limit cannot. `_check_incomplete` applies the one in force.
+        return h11.Connection(h11.SERVER, sys.maxsize)
 
     def _serve_one(self) -> bool:
         self._interrupted = False
@@ -349,8 +350,9 @@
             )
 
     def _receive_request(self) -> _exchange.Exchange | None:
-        limits = self.server.limits
         clock = self.server.clock
+        # What was in force when the head was complete holds for the body.
+        max_body_bytes = 0
         parts: list[bytes] = []
         size = 0
         started_ms: float | None = None
@@ -369,6 +371,7 @@
                     tuple(event.headers.raw_items()),
                 )
                 self._received_ms = clock.now_ms()
+                max_body_bytes = self.server.limits.max_body_bytes
                 self._restore_timeout()
                 self._open_memory()
                 if self._http.they_are_waiting_for_100_continue:
@@ -378,13 +381,10 @@
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 parts.append(bytes(event.data))
-                if (
-                    size > limits.max_body_bytes
-                    or len(parts) > _MAX_BODY_PIECES
-                ):
+                if size > max_body_bytes or len(parts) > _MAX_BODY_PIECES:
                     self._reject(
                         413,
-                        f"body exceeds {limits.max_body_bytes} bytes or "
+                        f"body exceeds {max_body_bytes} bytes or "
                         f"{_MAX_BODY_PIECES} pieces",
                     )
                     return None
@@ -398,26 +398,35 @@
                     self, self._head, b"".join(parts), self._received_ms
                 )
             elif event is h11.NEED_DATA:
+                if not self._check_incomplete():
+                    return None
                 if started_ms is None and self._http.trailing_data[0]:
                     started_ms = clock.now_ms()
                 body_since_ms = self._received_ms if self._head else None
-                if not self._receive(limits, body_since_ms, started_ms):
+                if not self._receive(body_since_ms, started_ms):
                     return None
                 if started_ms is None:
                     started_ms = clock.now_ms()
             else:
                 return None
 
+    def _check_incomplete(self) -> bool:
+        """Returns whether what was received of a head is within the limit.
+
+        This includes the heads of chunks and trailers.
+        """
+        limit_bytes = self.server.limits.max_header_bytes + _READ_BYTES
+        if len(self._http.trailing_data[0]) <= limit_bytes:
+            return True
+        self._reject(431, f"head exceeds {limit_bytes} bytes")
+        return False
+
     def _receive(
-        self,
-        limits: _server_interface.ServerLimits,
-        body_since_ms: float | None,
-        started_ms: float | None,
+        self, body_since_ms: float | None, started_ms: float | None
     ) -> bool:
         """Receives more bytes of a request.
 
         Args:
-            limits: Timeouts of the connection.
             body_since_ms: Instant at which the head of the request was
                 complete; None if it is not.
             started_ms: Instant of the first bytes of the request; None if
@@ -427,23 +436,29 @@
             False if the connection timed out or failed, or was closed between
             requests.
         """
-        now_ms = self.server.clock.now_ms()
-        timeout_ms = limits.idle_timeout_ms
-        if body_since_ms is not None:
-            left_ms = body_since_ms + limits.body_timeout_ms - now_ms
-            timeout_ms = max(1.0, min(timeout_ms, left_ms))
-        elif started_ms is not None:
-            left_ms = started_ms + limits.header_timeout_ms - now_ms
-            timeout_ms = max(1.0, left_ms)
-        try:
-            self._sock.settimeout(timeout_ms / 1000.0)
-            data = self._sock.recv(_READ_BYTES)
-        except TimeoutError:
-            if started_ms is not None:
-                self._reject(408, "timed out before the request was complete")
-            return False
-        except OSError:
-            return False
+        idle_since_ms = self.server.clock.now_ms()
+        timeout_ms = self._time_left_ms(
+            idle_since_ms, body_since_ms, started_ms
+        )
+        data: bytes | None = None
+        while data is None:
+            try:
+                self._sock.settimeout(timeout_ms / 1000.0)
+                data = self._sock.recv(_READ_BYTES)
+            except TimeoutError:
+                # The limits may have grown during the wait.
+                timeout_ms = self._time_left_ms(
+                    idle_since_ms, body_since_ms, started_ms
+                )
+                if timeout_ms > 1.0:
+                    continue
+                if started_ms is not None:
+                    self._reject(
+                        408, "timed out before the request was complete"
+                    )
+                return False
+            except OSError:
+                return False
         if not data and started_ms is None:
             return False
         if body_since_ms is not None and timeout_ms <= 1.0:
@@ -453,6 +468,27 @@
         self._http.receive_data(data)
         return True
 
+    def _time_left_ms(
+        self,
+        idle_since_ms: float,
+        body_since_ms: float | None,
+        started_ms: float | None,
+    ) -> float:
+        """Returns the time left to wait by the limits in force, 1 ms or more.
+
+        Args:
+            idle_since_ms: Instant at which the wait began.
+            body_since_ms: As in `_receive`.
+            started_ms: As in `_receive`.
+        """
+        limits = self.server.limits
+        end_ms = idle_since_ms + limits.idle_timeout_ms
+        if body_since_ms is not None:
+            end_ms = min(end_ms, body_since_ms + limits.body_timeout_ms)
+        elif started_ms is not None:
+            end_ms = started_ms + limits.header_timeout_ms
+        return max(1.0, end_ms - self.server.clock.now_ms())
+
     def _parse_read_ahead(self) -> None:
         if self._read_ahead_data:
             data, self._read_ahead_data = self._read_ahead_data, b""
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
@@ -156,3 +156,72 @@
     conn.terminate()
     conn.run()
     theirs.close()
+
+
+_SMALL = connections.ServerLimits(
+    max_header_bytes=1000,
+    max_body_bytes=1000,
+    header_timeout_ms=3000.0,
+    idle_timeout_ms=300.0,
+)
+_LARGE = connections.ServerLimits(
+    max_header_bytes=400_000,
+    max_body_bytes=400_000,
+    header_timeout_ms=3000.0,
+    idle_timeout_ms=10000.0,
+)
+_REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%s\r\n%s"
+
+
+@pytest.fixture
+def call_after_change(start_server):
+    """Sends a request on a connection that was idle when limits changed."""
+    socks = []
+
+    def call(before, after, request, idle_s=0.02):
+        server = start_server(lambda exchange: exchange.respond(200, (), b""))
+        server.limits = before
+        host, port = server.address.rsplit(":", 1)
+        sock = green_socket.create_connection((host, int(port)))
+        socks.append(sock)
+        sock.settimeout(5)
+        sock.sendall(_REQUEST % (1, b"", b"x"))
+        assert sock.recv(65536).split()[1] == b"200"
+        eventlet.sleep(0.02)
+        server.limits = after
+        eventlet.sleep(idle_s)
+        sock.sendall(request)
+        received = sock.recv(65536)
+        return received.split()[1] if received else b"closed"
+
+    yield call
+    for sock in socks:
+        sock.close()
+
+
+_BODY = _REQUEST % (200_000, b"", b"x" * 200_000)
+_HEAD = _REQUEST % (1, b"X-Field: " + b"a" * 200_000 + b"\r\n", b"x")
+
+
+@pytest.mark.parametrize("request_bytes", [_BODY, _HEAD], ids=["body", "head"])
+def test_kept_connection_follows_larger_limits(
+    call_after_change, request_bytes
+):
+    """Guards against proper requests refused by the limits of the past."""
+    assert call_after_change(_SMALL, _LARGE, request_bytes) == b"200"
+
+
+def test_kept_connection_stays_open_by_a_longer_idle_timeout(
+    call_after_change,
+):
+    request = _REQUEST % (1, b"", b"x")
+    assert call_after_change(_SMALL, _LARGE, request, idle_s=0.6) == b"200"
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"), [(_BODY, b"413"), (_HEAD, b"431")]
+)
+def test_kept_connection_follows_smaller_limits(
+    call_after_change, request_bytes, status
+):
+    assert call_after_change(_LARGE, _SMALL, request_bytes) == status
