Caller that leaves during a reservation stops its request

Cause: the departure is raised in the request's thread, once, and the call that reserves memory caught HollycartError, its base. The request went on.

The call, and the query for an engine's load, catch the failures of their connection only. test_caller_that_leaves_during_a_reservation_stops_its_request failed before.

--- a/packages/hollycart/src/hollycart/gateway/_reserver.py
+++ b/packages/hollycart/src/hollycart/gateway/_reserver.py
@@ -157,7 +157,9 @@
             response = conn.read_head(_CALL_TIMEOUT_MS)
             self.notices.record(endpoint, response, sent_ms)
             conn.read_body(_CALL_TIMEOUT_MS, _MAX_RESPONSE_BYTES)
-        except base.HollycartError as exc:
+        except _failures.EndpointLostError:
+            raise  # aborts the attempt; not a failure of this call
+        except (base.EndpointFailedError, base.InvalidRequestError) as exc:
             logging.info(
                 "reservation call to %s failed: %s", endpoint.id, exc.detail
             )
--- a/packages/hollycart/src/hollycart/gateway/_survey.py
+++ b/packages/hollycart/src/hollycart/gateway/_survey.py
@@ -145,7 +145,7 @@
             self.notices.record(endpoint, head, sent_ms)
             body = conn.read_body(left_ms(), _MAX_BODY_BYTES)
             return self.codec.decode_load(head, body)
-        except base.HollycartError as exc:
+        except (base.EndpointFailedError, base.InvalidRequestError) as exc:
             logging.info("load of %s is unknown: %s", endpoint.id, exc.detail)
             return None
         finally:
--- a/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_forwarder.py
@@ -1083,3 +1083,37 @@
         if isinstance(d, observe.decisions.Repeated)
     ]
     assert repeated == ["endpoint_replaced"]
+
+
+def test_caller_that_leaves_during_a_reservation_stops_its_request(
+    system, endpoints, answers, eventually
+):
+    """Guards against a reservation that takes the departure for a failure."""
+    released = []
+
+    def handler(exchange, fields):
+        if exchange.head.target == b"/reserve" and not released:
+            while not released:
+                eventlet.sleep(0.01)
+        if exchange.head.target in (b"/reserve", b"/release"):
+            exchange.respond(200, (), b"{}")
+        else:
+            answers.events(1, 2)(exchange, fields)
+
+    system.apply_state()
+    script(endpoints, handler)
+    conn = system.open("/stream/", tokens=600000, wait=15000)
+    eventually(lambda: any(e.requests for e in endpoints))
+    conn.close()
+    eventually(
+        lambda: any(
+            isinstance(d, observe.decisions.CallerLeft)
+            for d in system.log.decisions
+        )
+    )
+    released.append(True)
+    eventually(lambda: system.front_server.running == 0)
+    eventlet.sleep(0.3)
+    targets = [t for e in endpoints for t, _, _ in e.requests]
+    assert "/stream/" not in targets
+    assert not list(system.peers.view.of_instance("me"))
