Instances of several zones are peers also without model engines

In a configuration without model engines the instances of each zone heard only themselves: the retry budget, limits, crashes and leaving endpoints were not shared.

Cause: an instance waits for the first listed model engine before it divides the fleet into cells, here for ever.

It waits only if a service has model engines. test_instances_of_all_zones_are_peers_without_model_engines failed before.

--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -299,13 +299,14 @@
         if snapshot is None or snapshot.config is None:
             return
         services = snapshot.config.services
+        has_engines = any(s.engine is not None for s in services.values())
         endpoints = collections.Counter(
             e.zone
             for e in snapshot.endpoints
             if e.service in services and services[e.service].engine is not None
         )
-        if not endpoints and not self.peers.book.cell:
-            return  # the platform is starting
+        if has_engines and not endpoints and not self.peers.book.cell:
+            return  # the platform is starting, its engines are not listed yet
         instances = collections.Counter(p.zone for p in snapshot.peers.values())
         instances[self.cfg.zone] += 1
         self.peers.set_cells(placement.group_zones(endpoints, instances))
