--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -25,8 +25,6 @@
 TCP_USER_TIMEOUT_MS = 20000
 _READ_BYTES = 65536
 _MAX_READ_AHEAD_BYTES = 65536  # received after the request in progress
-# Pieces of one request body: chunks, or what arrives at once.
-_MAX_BODY_PIECES = 16384
 _UNIT_BYTES = 4096  # bytes that are received in one unit of work
 _HTTP_1_0 = b"1.0"
 _WRITE_TIMEOUT_MS = 10000.0  # a caller that reads nothing is disconnected
@@ -62,6 +60,7 @@
         self._interrupted = False
         self._head: _messages.RequestHead | None = None
         self._received_ms = 0.0
+        self._body_wire_bytes = 0  # received of a body, with its framing
         self._resets_on_close = False
         self._has_long_timeout = False
         self._watcher: Any = None
@@ -353,8 +352,7 @@
         clock = self.server.clock
         # What was in force when the head was complete holds for the body.
         max_body_bytes = 0
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         started_ms: float | None = None
         self._parse_read_ahead()
         while True:
@@ -372,6 +370,7 @@
                 )
                 self._received_ms = clock.now_ms()
                 max_body_bytes = self.server.limits.max_body_bytes
+                self._body_wire_bytes = len(self._http.trailing_data[0])
                 self._restore_timeout()
                 self._open_memory()
                 if self._http.they_are_waiting_for_100_continue:
@@ -379,13 +378,16 @@
                         h11.InformationalResponse(status_code=100, headers=[])
                     )
             elif isinstance(event, h11.Data):
-                size += len(event.data)
-                parts.append(bytes(event.data))
-                if size > max_body_bytes or len(parts) > _MAX_BODY_PIECES:
+                body += event.data
+                framing_bytes = self._body_wire_bytes - len(body)
+                # Bytes of the next request may have been received as well.
+                if (
+                    len(body) > max_body_bytes
+                    or framing_bytes > max_body_bytes + 2 * _READ_BYTES
+                ):
                     self._reject(
                         413,
-                        f"body exceeds {max_body_bytes} bytes or "
-                        f"{_MAX_BODY_PIECES} pieces",
+                        f"body or its framing exceeds {max_body_bytes} bytes",
                     )
                     return None
                 if self.memory is not None:
@@ -393,9 +395,9 @@
             elif isinstance(event, h11.EndOfMessage):
                 assert self._head is not None
                 if self.memory is not None:
-                    self.memory.complete_body(size)
+                    self.memory.complete_body(len(body))
                 return _exchange.Exchange(
-                    self, self._head, b"".join(parts), self._received_ms
+                    self, self._head, bytes(body), self._received_ms
                 )
             elif event is h11.NEED_DATA:
                 if not self._check_incomplete():
@@ -465,6 +467,7 @@
             self._reject(408, "the body of the request took too long")
             return False
         self._work.add(len(data) // _UNIT_BYTES)
+        self._body_wire_bytes += len(data)
         self._http.receive_data(data)
         return True
 
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
@@ -225,3 +225,29 @@
     call_after_change, request_bytes, status
 ):
     assert call_after_change(_LARGE, _SMALL, request_bytes) == status
+
+
+@pytest.mark.parametrize(
+    ("size", "chunk_bytes"), [(1 << 20, 48), (200_000, 12), (100_000, 1)]
+)
+def test_body_in_many_small_chunks_is_received(start_server, size, chunk_bytes):
+    """Guards against proper bodies refused for the number of their pieces."""
+    received = []
+
+    def handler(exchange):
+        received.append(exchange.body)
+        exchange.respond(200, (), b"")
+
+    server = start_server(handler)
+    host, port = server.address.rsplit(":", 1)
+    sock = green_socket.create_connection((host, int(port)))
+    sock.settimeout(30)
+    chunk = b"%x\r\n%s\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    count = size // chunk_bytes
+    sock.sendall(
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    sock.sendall(chunk * count + b"0\r\n\r\n")
+    assert sock.recv(65536).split()[1] == b"200"
+    assert received == [b"x" * (chunk_bytes * count)]
+    sock.close()
