New instance learns what a restored copy lacks from the era before

Cause: an instance that starts as the store comes back ignored the replies of peers that were still in the era before, which alone know the later values; and its wait for peers counted from its start, so that it had ended if the store was away for longer.

A new instance takes former values from any peer, and waits from its first state on, also while it fetches.

--- a/packages/hollycart/src/hollycart/gateway/_reader.py
+++ b/packages/hollycart/src/hollycart/gateway/_reader.py
@@ -98,7 +98,7 @@
         self._encoded: tuple[_history.RawState, bytes] | None = None
         self._was_fresh = True
         self._history = _history.StoreHistory(decoder)
-        self._started_ms = clock.now_ms()
+        self._first_state_ms = float("inf")
         self._heard_peer = False
         self._unconfirmed_ms: float | None = None
         self._guard = base.LoopGuard("learning the state")
@@ -110,7 +110,6 @@
             peers: Exchange of datagrams with the other instances.
         """
         self._peers = peers
-        self._started_ms = self.clock.now_ms()
         self._thread = eventlet.spawn(self._run)
 
     def close(self) -> None:
@@ -172,7 +171,7 @@
         elif (
             current is None
             or message.position >= current.position
-            or (self._awaits_peers() and message.era == current.era)
+            or self._awaits_peers()
         ):
             self._schedule_fetch(ip)
 
@@ -321,9 +320,14 @@
         return raw is not None and raw.contents.era > 0 and not self._heard_peer
 
     def _confirm(self, confirmed_ms: float) -> None:
-        """Confirms the state, after a start only once peers could answer."""
-        waited_ms = self.clock.now_ms() - self._started_ms
-        if self._awaits_peers() and waited_ms < _PEER_ANSWER_MS:
+        """Confirms the state, after a start only once peers could answer.
+
+        They are queried with the first state that was read.
+        """
+        waited_ms = self.clock.now_ms() - self._first_state_ms
+        if self._awaits_peers() and (
+            waited_ms < _PEER_ANSWER_MS or self._fetch_in_flight
+        ):
             self._unconfirmed_ms = confirmed_ms
             return
         self._unconfirmed_ms = None
@@ -361,6 +365,7 @@
             snapshot = snapshot._replace(digest=raw.digest)
         before = self.platform_state.endpoints
         now_ms = self.clock.now_ms()
+        self._first_state_ms = min(self._first_state_ms, now_ms)
         changed = self.platform_state.apply(raw, snapshot, now_ms)
         self._confirm(confirmed_ms)
         self._peers.add_addresses(snapshot.peers.values())
