Traits that crash engines are remembered beyond a kill of all instances

After a kill of all processes a request that crashes engines reached them 5 times later than contact-ms after its third crash, 3 allowed.

Cause: the quarantine was in the memory of the instances only.

test_trait_in_quarantine_outlives_all_instances needs the new class.

--- a/packages/hollycart-core/src/hollycart_core/crashes/_quarantine.py
+++ b/packages/hollycart-core/src/hollycart_core/crashes/_quarantine.py
@@ -54,6 +54,11 @@
     trial_by: str = ""
     was_answered: bool = False
 
+    @property
+    def is_clear(self) -> bool:
+        """Whether the trait is the cause beyond doubt."""
+        return self.trial_delay_ms >= _FIRST_TRIAL_MS
+
 
 class Quarantine:
     """Keeps requests with traits that crash engines away from them.
--- a/packages/hollycart/src/hollycart/gateway/_crash_guard.py
+++ b/packages/hollycart/src/hollycart/gateway/_crash_guard.py
@@ -1,5 +1,6 @@
 """Keeps requests with traits that crash engines away from the engines."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import random
 
@@ -41,6 +42,9 @@
         metrics: Receives counts.
         clock: Source of time.
         rng: Source of randomness.
+
+    Attributes:
+        on_change: Called with entries of the quarantine that have changed.
     """
 
     def __init__(
@@ -67,6 +71,9 @@
             self._handle_change,
             self._schedule_review,
         )
+        self.on_change: Callable[[Sequence[crashes.QuarantineEntry]], None] = (
+            lambda changed: None
+        )
         self._reviews = False
         self._review_needed = False
         watch.on_crash = self.record_crash
@@ -251,10 +258,15 @@
             self.exchange.announce_entries(changed)
             self._handle_change(changed, self.peers.name)
 
+    def handle_stored(self, entries: Sequence[crashes.QuarantineEntry]) -> None:
+        """Handles entries that were read from the store."""
+        self._handle_change(entries, "store")
+
     def _handle_change(
         self, changed: Sequence[crashes.QuarantineEntry], source: str
     ) -> None:
         now_ms = self.clock.now_ms()
+        self.on_change(changed)
         for entry in changed:
             self.metrics.count(
                 "quarantine_released" if entry.released else "quarantined"
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -9,6 +9,7 @@
 from hollycart.gateway import _forwarder
 from hollycart.gateway import _memory
 from hollycart.gateway import _peers
+from hollycart.gateway import _quarantine_records
 from hollycart.gateway import _read_times
 from hollycart.gateway import _reader
 from hollycart.gateway import _registration
@@ -136,7 +137,17 @@
             clock,
             self.rng,
         )
-        self.reader.on_store_restored = self._registration.handle_restored_store
+        guard = self.forwarder.guard
+        self.records = _quarantine_records.QuarantineRecords(
+            self.peers,
+            guard.quarantine,
+            self.store,
+            self.decoder.encode_record,
+            clock,
+            guard.handle_stored,
+        )
+        guard.on_change = self.records.record
+        self.reader.on_store_restored = self._handle_restored_store
         self.memory = _memory.make_gate(cfg.policy, clock)
         self.front_server = connections.HttpExchangeServer(
             cfg.front_address,
@@ -218,6 +229,7 @@
         self._peer_server.close()
         self._metrics_server.close()
         self._registration.close()
+        self.records.close()
         self.reader.close()
         self.peers.close()
         self.forwarder.close()
@@ -275,7 +287,13 @@
             _address_book.InstanceAddress(ip, "") for ip in self.cfg.seed_ips
         )
 
+    def _handle_restored_store(self) -> None:
+        self._registration.handle_restored_store()
+        self.records.record_restored_store()
+
     def _apply_change(self) -> None:
+        snapshot = self.platform_state.snapshot
+        self.records.apply(snapshot.records if snapshot else {})
         self.forwarder.notices.record_listed(
             self.platform_state.endpoints.values()
         )
--- a/packages/hollycart/src/hollycart/gateway/_state.py
+++ b/packages/hollycart/src/hollycart/gateway/_state.py
@@ -26,6 +26,7 @@
         config_era: Era of the store in which the configuration was read.
         evacuated: Era and revision at which the evacuation of an availability
             zone was requested, by zone.
+        records: Values that instances keep in the store, by name.
     """
 
     revision: int
@@ -37,6 +38,7 @@
     era: int = 0
     config_era: int = 0
     evacuated: Mapping[str, kv.Position] = {}
+    records: Mapping[str, bytes] = {}
 
     @property
     def position(self) -> kv.Position:
@@ -59,6 +61,9 @@
     ) -> kv.Put:
         """Returns the record by which other instances discover this one."""
 
+    def encode_record(self, name: str, value: bytes) -> kv.Put:
+        """Returns the write of a value that instances keep in the store."""
+
 
 class PlatformState:
     """The newest state; it never returns to an older one.
--- a/packages/hollycart/src/hollycart/gateway/tests/conftest.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/conftest.py
@@ -470,7 +470,8 @@
         policy=gateway.PolicySettings(evacuate_ms=5000.0),
     )
     decoder = types.SimpleNamespace(
-        encode_peer=lambda name, address: kv.Put(name, b"")
+        encode_peer=lambda name, address: kv.Put(name, b""),
+        encode_record=kv.Put,
     )
     return gateway.Gateway(
         cfg,
--- a/packages/hollycartctl/src/hollycartctl/operations/tests/test_where.py
+++ b/packages/hollycartctl/src/hollycartctl/operations/tests/test_where.py
@@ -35,6 +35,9 @@
         del address
         return kv.Put(f"peers/{name}", b"")
 
+    def encode_record(self, name, value):
+        return kv.Put(f"records/{name}", value)
+
     def is_registration(self, key):
         return key.startswith("peers/")
 
