Quarantine record of another writer keeps no sound request away

A record without traits would have put every request of its service into quarantine on all instances, and a version above 64 bits cannot be sent in a datagram. Records are checked when they are read; one that no instance writes is logged and skipped.

test_malformed_record_hides_no_other failed before for records without the trait, released, or with a version or delay out of range.

--- a/packages/hollycart/src/hollycart/gateway/_quarantine_records.py
+++ b/packages/hollycart/src/hollycart/gateway/_quarantine_records.py
@@ -25,6 +25,7 @@
 _RETRY_INTERVAL_MS = 1000.0
 # Pause between two records: two writes each, from one instance of each cell.
 _WRITE_INTERVAL_MS = 100.0
+_MAX_VERSION = 2**31
 _ENTRY_DECODER = msgspec.json.Decoder(_crash_messages.Entry)
 
 
@@ -104,7 +105,7 @@
         for name in new:
             if name in known:
                 continue
-            parsed = base.parse(_ENTRY_DECODER.decode, records[name])
+            parsed = base.parse(_parse_record, records[name])
             if isinstance(parsed, result.Err):
                 logging.warning(
                     "malformed quarantine record %s: %s", name, parsed.err_value
@@ -172,6 +173,25 @@
         )
 
 
+def _parse_record(value: bytes) -> _crash_messages.Entry:
+    """Returns a record.
+
+    Raises:
+        ValueError: If it is not one that `QuarantineRecords` writes.
+    """
+    record = _ENTRY_DECODER.decode(value)
+    # Without traits, it would keep away every request of the service.
+    if record.trait not in record.traits:
+        raise ValueError(f"{record.trait!r} is not among its own traits")
+    if record.released or not 0 < record.version <= _MAX_VERSION:
+        raise ValueError(f"version {record.version}, or released")
+    if not 0 <= record.failed_trials <= _MAX_VERSION:
+        raise ValueError(f"{record.failed_trials} failed trials")
+    if not 0.0 <= record.trial_delay_ms <= _LIFETIME_MS:
+        raise ValueError(f"trials after {record.trial_delay_ms:.0f} ms")
+    return record
+
+
 def _name(entry: crashes.QuarantineEntry) -> str:
     """Returns the name of an entry's record."""
     return xxhash.xxh3_64_hexdigest(f"{entry.service}\0{entry.trait}".encode())
--- a/packages/hollycart/src/hollycart/gateway/tests/test_quarantine_records.py
+++ b/packages/hollycart/src/hollycart/gateway/tests/test_quarantine_records.py
@@ -171,8 +171,32 @@
     assert len(records._waiting) == _quarantine_records._MAX_WAITING
 
 
+def _record(traits=b'["z"]', version=b"1", released=b"false", delay=b"20000.0"):
+    fields = (traits, version, released, b"1.0", b"0", delay, b"1.0")
+    return b'["llm","z",' + b",".join(fields) + b',"",false]'
+
+
+def test_sound_record_is_read(start):
+    records, quarantine, _ = start()
+    records.apply({"r": _record()})
+    assert quarantine.find("llm", ("z",)) is not None
+
+
 @pytest.mark.parametrize(
-    "value", [b"", b"\xff", b"[" * 5000, b"[1]", b'["s","p",["p"],"x"]']
+    "value",
+    [
+        b"",
+        b"\xff",
+        b"[" * 5000,
+        b"[1]",
+        _record(traits=b"[]"),
+        _record(traits=b'["y"]'),
+        _record(version=b"9" * 30),
+        _record(version=b"-1"),
+        _record(released=b"true"),
+        _record(delay=b"1e300"),
+        _record(delay=b"-1.0"),
+    ],
 )
 def test_malformed_record_hides_no_other(clock, store, start, value):
     """Guards against a record of another writer that empties the rest."""
@@ -181,6 +205,7 @@
     records, quarantine, _ = start("new")
     records.apply({"odd": value, **store.records()})
     assert quarantine.find("llm", ("p",)) is not None
+    assert quarantine.find("llm", ("z", "y")) is None
 
 
 def test_trait_that_is_known_is_left_as_it_is(clock, store, start):
