Soak: odd entries of another writer while an engine leaves

A new kind of trouble writes odd entries under each prefix, made by the generator of the property tests, while an engine leaves; overwrites the entry of that engine with a state that has no name; and revokes a key. What leaving engines and revoked keys must not do is checked as before. There is one more team, whose key it revokes.

--- a/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_faults.py
@@ -25,6 +25,7 @@
 _EXIT_TIMEOUT_S = 12.0
 _OBSERVE_S = 4.0  # after the acknowledgement of a change
 _OBSERVE_LOAD_S = 1.0
+_ODD_ROUNDS = 8  # of entries of another writer
 _LIMIT_S = 10.0  # the bound on a limited rate holds 3 s after it is named
 _ENGINE_START_S = 3.0
 _ENGINE_DOWN_S = 2.0  # at most, after a crash
@@ -100,6 +101,7 @@
             "engines_crash_on_request": self._engines_crash_on_request,
             "engine_leaves": self._engine_leaves,
             "engine_vanishes": self._engine_vanishes,
+            "odd_entries": self._odd_entries,
             "store_down": lambda: self._store_down(_STORE_OUTAGE_S),
             "store_slow": self._store_slow,
             "store_cut": self._store_cut,
@@ -437,6 +439,26 @@
         self.system.start_engine(engine)
         return engine
 
+    def _odd_entries(self) -> str:
+        """Lets another writer leave odd entries while the state changes.
+
+        An engine leaves, and its entry is overwritten while it drains. A key
+        is revoked meanwhile.
+        """
+        engine = self._choose_engine()
+        acked_ms = self.system.put_endpoint(engine, True)
+        self.record.leaving.append((engine, acked_ms))
+        for _ in range(_ODD_ROUNDS):
+            self.system.put_odd_entries(self.rng)
+            eventlet.sleep(_OBSERVE_S / _ODD_ROUNDS)
+        self.system.put_unknown_state(engine)
+        self._revoke_key()
+        eventlet.sleep(_OBSERVE_S)
+        self.system.engines[engine].kill()
+        self.system.remove_endpoint(engine)
+        self.system.start_engine(engine)
+        return engine
+
     def _store_down(self, seconds: float) -> str:
         self.system.set_store_faults(down=True)
         eventlet.sleep(seconds)
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -1,6 +1,7 @@
 """The processes of a soak and the operator's changes to them."""
 
 import pathlib
+import random
 import signal
 from typing import NamedTuple
 
@@ -71,7 +72,7 @@
         self.folder = folder
         self.memory_bytes = memory_bytes
         self.version = 1
-        self.keys = {f"team-{n}": f"key-{n}" for n in range(4)}
+        self.keys = {f"team-{n}": f"key-{n}" for n in range(5)}
         self.plain_service = _configuration.PLAIN_SERVICES[0]
         self.entry_instances: dict[str, _EntryInstance] = {}
         self.engines: dict[str, fleet.BenchProcess] = {}
@@ -170,6 +171,18 @@
         self._put({}, [hollycart_standins.endpoint_key(engine_id)])
         return self._clock.wall_ms()
 
+    def put_odd_entries(self, rng: random.Random) -> None:
+        """Writes entries of another writer under each prefix."""
+        endpoint = rng.choice(list(self.endpoints.values()))
+        self._put(hollycart_standins.make_odd_entries(rng, endpoint))
+
+    def put_unknown_state(self, engine_id: str) -> None:
+        """Overwrites the entry of an engine with a state that has no name."""
+        value = hollycart_standins.encode_unknown_state(
+            self.endpoints[engine_id]
+        )
+        self._put({hollycart_standins.endpoint_key(engine_id): value})
+
     def evacuate_zone(self, zone: str, evacuated: bool = True) -> float:
         """Writes or removes the evacuation of a zone.
 
