--- a/review/standins_2/engine.py
+++ b/review/standins_2/engine.py
@@ -1,16 +1,21 @@
 """Stand-in for an engine, a process of its own.
 
 It writes what arrives, runs and ends to a journal: a line each with the time in
-s, its id, the event and the id of the request.
+s, its id, the event and the id of the request, or the ticket of an order.
 """
 
 import argparse
 import json
+import os
+import random
 import socket
 import threading
 import time
 
 _IDLE_TIMEOUT_S = 20.0
+_MEMORY_TOKENS = 450000
+_MIN_LATE_S = 2.0
+_MAX_LATE_S = 12.0
 
 
 def event(request_id: str, number: int, size: int) -> bytes:
@@ -24,6 +29,12 @@
     return f"{request_id}/".ljust(size, "x").encode()
 
 
+def _tickets(helpers: str) -> set[str]:
+    """Returns the tickets that a list of helpers names."""
+    entries = [entry.partition("/") for entry in helpers.split(",")]
+    return {ticket for _, _, ticket in entries if ticket}
+
+
 class Engine:
     """Serves requests, one at a time on each channel.
 
@@ -36,6 +47,9 @@
         self.running = 0
         self.born_ms = int(time.time() * 1000)
         self._journal = open(args.journal, "a", buffering=1)  # noqa: SIM115
+        self._lock = threading.Lock()
+        self._rng = random.Random(args.id)
+        self._tickets: dict[str, tuple[int, float]] = {}
 
     def run(self) -> None:
         """Accepts channels until the process is killed."""
@@ -82,7 +96,7 @@
         if target == "/v1/report":
             self._respond_json(sock, 200, self._report())
         elif target == "/v1/order":
-            self._respond_json(sock, 200, {"free": 400000})
+            return self._handle_order(sock, json.loads(data))
         elif target == self.args.health_path:
             extra = f"X-Instance-Id: {self.args.id}\r\n"
             self._respond(sock, 200, extra, b"")
@@ -94,6 +108,51 @@
             return self._run(sock, method, target, fields, data)
         return True
 
+    def _handle_order(self, sock: socket.socket, order: dict) -> bool:
+        """Carries out an order, or leaves it unanswered and does so late."""
+        is_late = self.args.late_file and os.path.exists(self.args.late_file)
+        if is_late and self._rng.random() < self.args.late_share:
+            late_s = self._rng.uniform(_MIN_LATE_S, _MAX_LATE_S)
+            self.note(f"unanswered-{order['operation']}", order["id"])
+            timer = threading.Timer(late_s, self._carry_out, (order, "late-"))
+            timer.daemon = True
+            timer.start()
+            time.sleep(late_s + 1.0)  # the caller gives up before
+            return False
+        status = self._carry_out(order, "")
+        self._respond_json(sock, status, {"free": self._free()})
+        return True
+
+    def _carry_out(self, order: dict, prefix: str) -> int:
+        ticket = order["id"]
+        with self._lock:
+            if order["operation"] == "release":
+                self._tickets.pop(ticket, None)
+                self.note(f"{prefix}release", ticket)
+                return 200
+            self._tickets.pop(ticket, None)
+            if order["tokens"] > self._free_unlocked():
+                self.note(f"{prefix}refused", ticket)
+                return 409
+            hold_s = order["hold-ms"] / 1000.0
+            end_s = time.time() + hold_s
+            self._tickets[ticket] = (order["tokens"], end_s)
+            self.note(f"{prefix}reserve-{end_s:.4f}", ticket)
+            return 200
+
+    def _free(self) -> int:
+        with self._lock:
+            return self._free_unlocked()
+
+    def _free_unlocked(self) -> int:
+        now_s = time.time()
+        self._tickets = {
+            t: (tokens, end_s)
+            for t, (tokens, end_s) in self._tickets.items()
+            if end_s > now_s
+        }
+        return _MEMORY_TOKENS - sum(n for n, _ in self._tickets.values())
+
     def _report(self) -> dict:
         return {
             "stage": "both",
@@ -137,6 +196,8 @@
             raise
         finally:
             self.running -= 1
+            for ticket in _tickets(fields.get("x-helpers", "")):
+                self.note("used-until-now", ticket)
 
     def _stream(
         self,
@@ -185,6 +246,8 @@
     parser.add_argument("--event-bytes", type=int, default=65)
     parser.add_argument("--gap-ms", type=float, default=150.0)
     parser.add_argument("--unframed", action="store_true")
+    parser.add_argument("--late-share", type=float, default=0.0)
+    parser.add_argument("--late-file", default="")
     Engine(parser.parse_args()).run()
 
 
