--- a/review/standins_2/consumer.py
+++ b/review/standins_2/consumer.py
@@ -40,6 +40,7 @@
         receive_bytes: Size of the receive buffer; 0 for that of the system.
         segment_bytes: Largest segment that is received; 0 for that of the
             system.
+        part: Id of a part of the prompt, beside the first and the last one.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         method: str = "POST",
         receive_bytes: int = 0,
         segment_bytes: int = 0,
+        part: str = "",
     ) -> None:
         self.request_id = request_id
         self.raw = b""
@@ -81,8 +83,8 @@
             lines += [
                 "X-Model: m",
                 f"X-Token-Usage: {prompt_tokens},{output_tokens}",
-                f"X-Prompt-Prefix: 5c1e07a2:40,{request_id}:"
-                f"{prompt_tokens - 40}",
+                f"X-Prompt-Prefix: 5c1e07a2:40,{part and part + ':40,'}"
+                f"{request_id}:{prompt_tokens - (80 if part else 40)}",
             ]
         if data:
             lines.append(f"Content-Length: {len(data)}")
--- a/review/standins_2/engine.py
+++ b/review/standins_2/engine.py
@@ -14,6 +14,7 @@
 
 _IDLE_TIMEOUT_S = 20.0
 _MEMORY_TOKENS = 450000
+_CRASH_AFTER_S = 0.06  # the start of the answer
 _MIN_LATE_S = 2.0
 _MAX_LATE_S = 12.0
 
@@ -177,6 +178,11 @@
     ) -> bool:
         request_id = fields["x-request-id"]
         self.note("run", request_id)
+        parts = fields.get("x-prompt-prefix", "").split(",")
+        if self.args.crash_part in [p.partition(":")[0] for p in parts]:
+            time.sleep(_CRASH_AFTER_S)
+            self.note("crash", request_id)
+            os._exit(139)
         self.running += 1
         common = (
             f"X-Request-Id: {request_id}\r\n"
@@ -246,6 +252,7 @@
     parser.add_argument("--event-bytes", type=int, default=65)
     parser.add_argument("--gap-ms", type=float, default=150.0)
     parser.add_argument("--unframed", action="store_true")
+    parser.add_argument("--crash-part", default="none")
     parser.add_argument("--late-share", type=float, default=0.0)
     parser.add_argument("--late-file", default="")
     Engine(parser.parse_args()).run()
--- a/review/standins_2/system.py
+++ b/review/standins_2/system.py
@@ -174,6 +174,7 @@
             raise CannotRunError("target/deps is missing: build first")
         self.case = case
         self.started_s = time.time()
+        self.closed = False
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.store = stores.Store()
         self.port = _find_ports(gateways)
@@ -191,6 +192,8 @@
 
     def close(self) -> None:
         """Ends all processes, writes the record, removes the folder."""
+        self.closed = True
+        time.sleep(0.1)
         processes = [g.process for g in self.gateways if g.process]
         processes += list(self.engines.values())
         for process in processes:
