--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -45,7 +45,10 @@
         instances: Number of entry instances.
         engines: Number of model engines.
         memory_bytes: Memory that the instances are told to have, in bytes; 0
-            for no bound.
+            to tell none.
+        max_descriptors: Descriptors that they are told to have; 0 to tell
+            none.
+        fair_shares: Whether teams share capacity that is scarce.
 
     Attributes:
         version: Version of the next configuration to be written.
@@ -68,9 +71,13 @@
         instances: int,
         engines: int,
         memory_bytes: int = _MEMORY_BYTES,
+        max_descriptors: int = 0,
+        fair_shares: bool = True,
     ) -> None:
         self.folder = folder
         self.memory_bytes = memory_bytes
+        self.max_descriptors = max_descriptors
+        self.fair_shares = fair_shares
         self.version = 1
         self.keys = {f"team-{n}": f"key-{n}" for n in range(5)}
         self.plain_service = _configuration.PLAIN_SERVICES[0]
@@ -452,12 +459,14 @@
                 cold_overage=_configuration.COLD_OVERAGE,
                 cold_slack=_configuration.COLD_SLACK,
                 memory_bytes=self.memory_bytes,
-                fair_shares=True,
+                fair_shares=self.fair_shares,
                 queries_load=True,
             ),
         )
         path = self.folder / f"{name}.toml"
-        path.write_text(hollycart_standins.encode_settings(cfg))
+        path.write_text(
+            hollycart_standins.encode_settings(cfg, self.max_descriptors)
+        )
         process = fleet.BenchProcess(
             name,
             fleet.python_module("hollycart_platform.serve"),
