Bound what is held for callers on every deployment

Callers saw refused connections: the process had ended for lack of memory. The budget of requests and responses existed only where the settings list the contract `pressure`; elsewhere nothing bounded the bodies of all connections together. It is now always in force, by `limits.memory-mb` or, without it, by the memory of the machine.

--- a/packages/hollycart-core/src/hollycart_core/base/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/base/__init__.py
@@ -42,6 +42,8 @@
 from hollycart_core.base._loop import PeriodicTask
 from hollycart_core.base._loop_guard import LoopGuard
 from hollycart_core.base._loop_watch import LoopWatch
+from hollycart_core.base._machine import machine_memory_bytes
+from hollycart_core.base._machine import max_descriptors
 from hollycart_core.base._outcome import Done
 from hollycart_core.base._outcome import NotRun
 from hollycart_core.base._outcome import Outcome
@@ -100,4 +102,6 @@
     "invariant_checks",
     "parse",
     "rendezvous_rank",
+    "machine_memory_bytes",
+    "max_descriptors",
 ]
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -251,8 +251,7 @@
         )
         self.reader.schedule = _read_schedule(cfg)
         self.forwarder.apply_policy(self.cfg.policy)
-        if self.memory is not None:
-            _memory.apply_bounds(self.memory.budget, self.cfg.policy)
+        _memory.apply_bounds(self.memory.budget, self.cfg.policy)
         budget = self.forwarder.budget
         budget.ratio = cfg.retry_ratio
         budget.window_ms = cfg.retry_window_ms
@@ -404,11 +403,9 @@
             "store_values_retained": float(len(raw.former) if raw else 0),
             "store_reads_failed": float(self.reader.reads_failed),
             "log_lines_dropped": float(self.log.dropped),
+            "buffered_bytes": float(self.memory.budget.held_bytes),
+            "buffered_responses": float(self.memory.buffered_responses),
         }
-        if self.memory is not None:
-            held_bytes = self.memory.budget.held_bytes
-            values["buffered_bytes"] = float(held_bytes)
-            values["buffered_responses"] = float(self.memory.buffered_responses)
         if cfg is not None:
             values["state_age_ms"] = self.platform_state.freshness.age_ms(
                 now_ms
--- a/packages/hollycart/src/hollycart/gateway/_memory.py
+++ b/packages/hollycart/src/hollycart/gateway/_memory.py
@@ -1,7 +1,5 @@
 """Divides the memory of the process."""
 
-import sys
-
 from hollycart.gateway import _settings
 from hollycart_core import base
 from hollycart_core import connections
@@ -24,14 +22,8 @@
 
 def make_gate(
     policy: _settings.PolicySettings, clock: base.Clock
-) -> connections.MemoryGate | None:
-    """Returns the gate of an instance, with bounds by its memory.
-
-    Returns:
-        The gate; None if the deployment bounds no memory.
-    """
-    if not policy.memory_bytes:
-        return None
+) -> connections.MemoryGate:
+    """Returns the gate of an instance, with bounds by its memory."""
     budget = connections.MemoryBudget(0, 0, _WAIT_MS)
     apply_bounds(budget, policy)
     return connections.MemoryGate(budget, clock)
@@ -49,14 +41,11 @@
         >>> budget.total_bytes >> 20, budget.account_bytes >> 20
         (70, 17)
         >>> apply_bounds(budget, _settings.PolicySettings())
-        >>> budget.total_bytes == budget.account_bytes == sys.maxsize
+        >>> budget.total_bytes < base.machine_memory_bytes()
         True
     """
-    if not policy.memory_bytes:
-        # The settings ask for no bound any more.
-        budget.total_bytes = budget.account_bytes = sys.maxsize
-        return
-    left_bytes = policy.memory_bytes - _PROCESS_BYTES
+    memory_bytes = policy.memory_bytes or base.machine_memory_bytes()
+    left_bytes = memory_bytes - _PROCESS_BYTES
     budget.total_bytes = max(_MIN_HELD_BYTES, int(left_bytes * _HELD_SHARE))
     budget.account_bytes = max(
         _MIN_ACCOUNT_BYTES, int(budget.total_bytes * _ACCOUNT_SHARE)
--- a/packages/hollycart/src/hollycart/gateway/_settings.py
+++ b/packages/hollycart/src/hollycart/gateway/_settings.py
@@ -13,8 +13,8 @@
             their requests in any one second may go.
         cold_slack: Requests in any one second in addition to that, for each
             cold endpoint and all instances together.
-        memory_bytes: Memory of the process, in bytes, to which what is held for
-            slow callers and endpoints is bounded; 0 for no bound.
+        memory_bytes: Memory of the process, in bytes, by which what is held for
+            callers and endpoints is bounded; 0 for that of the machine.
         tolerated_zones: Number of availability zones whose loss must be borne.
         fair_shares: Whether teams share capacity that is scarce.
         queries_load: Whether endpoints may be asked for their load while
