Free the body of a request that is refused for lack of memory at once

Callers saw refused connections: with the budget in force, 64 clients whose bodies stop short of 4 MB still took a process that is told 128 MB to 242 MB. Who waited longest is refused, which frees its share of the budget; but the failure refers to its traceback, the traceback to the frame that holds the body, and the frame to the failure. Such a cycle stays until a cyclic garbage collection, which the number of objects starts and not their size. 162 MB were resident where the budget counted 29 MB.

The body is now emptied when receiving it ends in any way.

--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -349,10 +349,19 @@
             )
 
     def _receive_request(self) -> _exchange.Exchange | None:
+        body = bytearray()
+        try:
+            return self._receive_into(body)
+        finally:
+            # The traceback of a failure keeps this frame until the next cyclic
+            # garbage collection.
+            body.clear()
+
+    def _receive_into(self, body: bytearray) -> _exchange.Exchange | None:
+        """Receives a request; its body is gathered in `body`."""
         clock = self.server.clock
         # What was in force when the head was complete holds for the body.
         max_body_bytes = 0
-        body = bytearray()
         started_ms: float | None = None
         self._parse_read_ahead()
         while True:
