Read from callers only what there is room for, heads included

Callers saw refused connections: 128 clients with heads of 80 KB in fields of five bytes and a body that stops short took a process that is told 128 MB to 187 MB. Heads did not count, nor what follows a request on its connection; and what had arrived was read before anybody looked whether there is room.

Everything received now counts for the account of its request from its first byte, a head with the size that its fields take once parsed. A connection reads when there is room and leaves the rest to the kernel, which stops the sender. What follows a request that runs waits without a turn, so that the request is not given up for it; that the caller left is still noticed. The first 32 KB of head count with the connection, so ordinary requests need no account. Pieces of a body no longer count 64 bytes each: they are gathered in one buffer. A failure of a refused request no longer keeps its head until a garbage collection.

The socket of test_endless_callers now returns no more than it is asked for, as sockets do, and has the `fd` that is read.

--- a/packages/hollycart-core/src/hollycart_core/connections/_exchange_memory.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_exchange_memory.py
@@ -6,11 +6,9 @@
 from hollycart_core.connections import _memory_gate
 from hollycart_core.connections import _response_writer
 
-_PIECE_BYTES = 64  # of a piece of a body, in addition to its content
-
 
 class ExchangeMemory:
-    """Counts the bodies of an exchange and buffers its response.
+    """Counts head and bodies of an exchange and buffers its response.
 
     The exchange can be shed while the request is received and while the
     response is, not while a request that may run waits for its response.
@@ -45,19 +43,39 @@
         self._writer = _response_writer.ResponseWriter(
             sock, gate, self._account, stall_timeout_ms, on_failure
         )
+        self._head_bytes = 0
         self._body_bytes = 0
         self._received_bytes = 0
 
-    def add_body(self, size: int) -> None:
-        """Counts a piece of the request body; waits until there is room.
+    @property
+    def has_room(self) -> bool:
+        """Whether more may be received now."""
+        return self.gate.budget.has_room(self._account)
+
+    def wait_to_receive(self) -> None:
+        """Waits until more may be received.
 
         Raises:
             ResponseShedError: If the request has to be shed.
         """
-        self._body_bytes += size + _PIECE_BYTES
-        self.gate.add(self._account, size + _PIECE_BYTES)
         self._wait()
 
+    def count_head(self, size: int) -> None:
+        """Counts what is held besides bodies: the head, and bytes to parse."""
+        if size != self._head_bytes:
+            self.gate.add(self._account, size - self._head_bytes)
+            self._head_bytes = size
+
+    def add_body(self, size: int) -> None:
+        """Counts a piece of the request body.
+
+        Raises:
+            ResponseShedError: If the request was shed.
+        """
+        self._body_bytes += size
+        self.gate.add(self._account, size)
+        self.raise_if_shed()
+
     def complete_body(self, size: int) -> None:
         """Counts the complete request body, which cannot be shed.
 
--- a/packages/hollycart-core/src/hollycart_core/connections/_memory_budget.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_memory_budget.py
@@ -157,6 +157,10 @@
             self._accounts.discard(account)
             self._stop_waiting(account)
 
+    def has_room(self, account: MemoryAccount) -> bool:
+        """Returns whether more may be read for an account at once."""
+        return self._has_room(account, self._find_first())
+
     def find_ready(self) -> list[MemoryAccount]:
         """Returns the accounts that wait and should ask again now.
 
--- a/packages/hollycart-core/src/hollycart_core/connections/_memory_gate.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_memory_gate.py
@@ -56,6 +56,11 @@
         self.buffered_responses = 0
         self._waiting: dict[_memory_budget.MemoryAccount, event.Event] = {}
 
+    @property
+    def is_full(self) -> bool:
+        """Whether nothing more may be read, not even for a new account."""
+        return self.budget.held_bytes > self.budget.total_bytes
+
     def add(self, account: _memory_budget.MemoryAccount, size: int) -> None:
         """Counts bytes that are held from now on; negative if freed."""
         self.budget.add(account, size, self.clock.now_ms())
@@ -90,6 +95,7 @@
             if verdict.victim is not None and verdict.victim.shed is not None:
                 verdict.victim.shed()
                 self.close(verdict.victim)
+                eventlet.sleep(0)  # its thread frees what it holds
             elif verdict.wait_ms:
                 self._wait_for_room(account, verdict.wait_ms)
             else:
--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -3,12 +3,15 @@
 It reads the requests one after the other and sends what the handler responds.
 """
 
+from collections.abc import Callable
+import socket as std_socket
 import sys
 from typing import Any
 
 from absl import logging
 import eventlet
 from eventlet import greenthread
+from eventlet import hubs
 from eventlet.green import socket
 import h11
 
@@ -24,13 +27,20 @@
 # acknowledged for this long.
 TCP_USER_TIMEOUT_MS = 20000
 _READ_BYTES = 65536
+_HEAD_READ_BYTES = 8192  # read at once while no body is expected
 _MAX_READ_AHEAD_BYTES = 65536  # received after the request in progress
+# Part of a head and of bytes to parse that each connection may hold without an
+# account. Heads within the usual limit need no more.
+_FREE_HEAD_BYTES = 32768
+_POLL_ROOM_MS = 100.0  # between looks for room to read ahead
+_FIELD_BYTES = 128  # of a header field, in addition to its content
 _UNIT_BYTES = 4096  # bytes that are received in one unit of work
 _HTTP_1_0 = b"1.0"
 _WRITE_TIMEOUT_MS = 10000.0  # a caller that reads nothing is disconnected
 # Time in which the rest of a body is discarded after its request was refused.
 # A connection that is closed before would be reset, and the response lost.
 _DISCARD_TIMEOUT_MS = 1000.0
+_MAX_DISCARD_BYTES = 1 << 20
 # The refusal of a body asks for a retry after this time, in which the budget
 # sheds what is held for longest.
 _REFUSAL_RETRY_AFTER_MS = 500.0
@@ -59,6 +69,7 @@
         self._caller_gone = False
         self._interrupted = False
         self._head: _messages.RequestHead | None = None
+        self._head_bytes = 0
         self._received_ms = 0.0
         self._body_wire_bytes = 0  # received of a body, with its framing
         self._resets_on_close = False
@@ -77,6 +88,8 @@
                 pass
         except _exchange.CallerGoneError:
             logging.debug("caller disconnected")
+        except _memory_gate.ResponseShedError as exc:
+            logging.info("incomplete head given up: %s", exc.detail)
         except OSError as exc:
             logging.debug("connection to the caller failed: %s", exc)
         finally:
@@ -245,6 +258,9 @@
         if self._sock is None or self._caller_gone:
             return False
         if exchange.refusal is not None:
+            exchange.refusal.__traceback__ = None  # as in `_read_request`
+            del exchange
+            self._release_head()
             self._discard_rest()
         if (
             self._http.our_state is not h11.DONE
@@ -287,6 +303,22 @@
         """Opens a new account after the former one was shed."""
         self._close_memory()
         self._open_memory()
+        self._count_head()
+
+    def _release_head(self) -> None:
+        self._head = None
+        self._head_bytes = 0
+
+    def _count_head(self) -> None:
+        """Counts the head and the bytes that were not parsed."""
+        if self.memory is None:
+            return
+        data = self._http.trailing_data[0]
+        size = len(data) + len(self._read_ahead_data) + self._head_bytes
+        if self._head is None:
+            # Parsing makes them objects, several times as large as a line.
+            size += _FIELD_BYTES * data.count(b"\n")
+        self.memory.count_head(max(0, size - _FREE_HEAD_BYTES))
 
     def _schedule_shedding(self, exc: _memory_gate.ResponseShedError) -> None:
         eventlet.spawn_n(self._interrupt_shed, exc)
@@ -312,15 +344,12 @@
     def _detect_disconnect(self) -> None:
         """Reads ahead and interrupts the handler if the caller disconnects."""
         sock = self._sock
-        pipelined_bytes = len(self._http.trailing_data[0])
-        while (
-            sock is not None
-            and pipelined_bytes + len(self._read_ahead_data)
-            < _MAX_READ_AHEAD_BYTES
-        ):
+        left_bytes = _MAX_READ_AHEAD_BYTES - len(self._http.trailing_data[0])
+        while sock is not None and left_bytes > 0:
             try:
-                sock.settimeout(None)
-                data = sock.recv(_READ_BYTES)
+                data = self._receive_bytes(
+                    None, min(left_bytes, _HEAD_READ_BYTES), self._poll_room
+                )
             except OSError:
                 data = b""
             if not data:
@@ -330,9 +359,11 @@
                 )
                 return
             self._read_ahead_data += data
+            left_bytes -= len(data)
+            self._count_head()
 
     def _read_request(self) -> _exchange.Exchange | None:
-        self._head = None
+        self._release_head()
         try:
             return self._receive_request()
         except _memory_gate.ResponseShedError as exc:
@@ -344,6 +375,8 @@
                 f"the body was not received: {exc.detail}",
                 _REFUSAL_RETRY_AFTER_MS,
             )
+            # Its frames refer to the failure and hold what was received.
+            exc.__traceback__ = None
             return _exchange.Exchange(
                 self, self._head, b"", self._received_ms, refusal
             )
@@ -378,10 +411,15 @@
                     tuple(event.headers.raw_items()),
                 )
                 self._received_ms = clock.now_ms()
+                self._head_bytes = _measure(self._head)
                 max_body_bytes = self.server.limits.max_body_bytes
                 self._body_wire_bytes = len(self._http.trailing_data[0])
                 self._restore_timeout()
-                self._open_memory()
+                if self.memory is None:
+                    self._open_memory()
+                self._count_head()
+                if not self._has_room():
+                    self._wait_for_room()
                 if self._http.they_are_waiting_for_100_continue:
                     self.send_event(
                         h11.InformationalResponse(status_code=100, headers=[])
@@ -451,11 +489,13 @@
         timeout_ms = self._time_left_ms(
             idle_since_ms, body_since_ms, started_ms
         )
+        max_bytes = _HEAD_READ_BYTES if body_since_ms is None else _READ_BYTES
         data: bytes | None = None
         while data is None:
             try:
-                self._sock.settimeout(timeout_ms / 1000.0)
-                data = self._sock.recv(_READ_BYTES)
+                data = self._receive_bytes(
+                    timeout_ms, max_bytes, self._wait_for_room
+                )
             except TimeoutError:
                 # The limits may have grown during the wait.
                 timeout_ms = self._time_left_ms(
@@ -478,8 +518,60 @@
         self._work.add(len(data) // _UNIT_BYTES)
         self._body_wire_bytes += len(data)
         self._http.receive_data(data)
+        if body_since_ms is None:
+            if self.memory is None:
+                self._open_memory()
+            self._count_head()
         return True
 
+    def _receive_bytes(
+        self,
+        timeout_ms: float | None,
+        max_bytes: int,
+        wait_for_room: Callable[[], None],
+    ) -> bytes:
+        """Returns received bytes, or no bytes at the end of the connection.
+
+        Nothing is read without room for it; the kernel then stops the sender.
+
+        Args:
+            timeout_ms: Longest wait for the bytes, in ms; None for no limit.
+            max_bytes: Largest number of bytes to return.
+            wait_for_room: Called while bytes have arrived and there is no room.
+
+        Raises:
+            OSError: If the connection failed; TimeoutError if nothing arrives.
+            ResponseShedError: If the request was given up to free memory.
+        """
+        sock = self._sock
+        while True:
+            try:
+                if self._has_room() or not sock.fd.recv(1, socket.MSG_PEEK):
+                    return bytes(sock.fd.recv(max_bytes))
+                wait_for_room()
+            except BlockingIOError:
+                hubs.trampoline(
+                    sock.fd,
+                    read=True,
+                    timeout=None if timeout_ms is None else timeout_ms / 1000.0,
+                    timeout_exc=std_socket.timeout,
+                )
+
+    def _has_room(self) -> bool:
+        if self.memory is not None:
+            return self.memory.has_room
+        return self.server.memory is None or not self.server.memory.is_full
+
+    def _wait_for_room(self) -> None:
+        if self.memory is None:
+            self._open_memory()
+        if self.memory is not None:
+            self.memory.wait_to_receive()
+
+    def _poll_room(self) -> None:
+        """Waits without a turn, since the request in progress is not shed."""
+        self.server.clock.sleep_ms(_POLL_ROOM_MS)
+
     def _time_left_ms(
         self,
         idle_since_ms: float,
@@ -512,11 +604,13 @@
         end_ms = clock.now_ms() + _DISCARD_TIMEOUT_MS
         try:
             self._sock.shutdown(socket.SHUT_WR)
-            while clock.now_ms() < end_ms:
+            left_bytes = _MAX_DISCARD_BYTES
+            while clock.now_ms() < end_ms and left_bytes > 0:
                 self._sock.settimeout((end_ms - clock.now_ms()) / 1000.0)
                 data = self._sock.recv(_READ_BYTES)
                 if not data:
                     return
+                left_bytes -= len(data)
                 self._work.add(1 + len(data) // _UNIT_BYTES)
         except OSError as exc:
             logging.debug("rest of a body not discarded: %s", exc)
@@ -527,3 +621,9 @@
             return
         self.send_head(status, ((b"Connection", b"close"),), 0)
         self.finish_response()
+
+
+def _measure(head: _messages.RequestHead) -> int:
+    """Returns the memory that the head of a request takes, in bytes."""
+    content_bytes = sum(len(k) + len(v) for k, v in head.headers)
+    return len(head.target) + content_bytes + _FIELD_BYTES * len(head.headers)
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_endless_callers.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_endless_callers.py
@@ -35,14 +35,22 @@
         self.sent = b""
         self.received = 0
         self._pieces = itertools.chain([head], itertools.repeat(self.units))
+        self._unread = b""
 
     def recv(self, size):
-        data = next(self._pieces)
-        assert len(data) <= size
+        self._unread = self._unread or next(self._pieces)
+        data, self._unread = self._unread[:size], self._unread[size:]
         self.received += len(data)
         assert self.received <= 4 << 20, "read without end"
         return data
 
+    @property
+    def fd(self):
+        return self
+
+    def shutdown(self, how):
+        pass
+
     def settimeout(self, timeout):
         pass
 
