Refuse a body that is announced over the limit at its head

Callers who announced a body over `max-body-bytes` were asked to send it, and the process held up to the limit of it before it refused. Their 413 was then lost: a connection that is closed with bytes unread is reset.

The announced length is now checked with the head, before `100 Continue`. After any refusal of its own the connection discards up to 1 MB for up to a second, as it did after a 503.

--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -418,6 +418,16 @@
                 if self.memory is None:
                     self._open_memory()
                 self._count_head()
+                length = _messages.find_header(
+                    self._head.headers, b"content-length"
+                )
+                if length and int(length) > max_body_bytes:
+                    self._reject(
+                        413,
+                        f"body of {length} bytes exceeds {max_body_bytes} "
+                        "bytes",
+                    )
+                    return None
                 if not self._has_room():
                     self._wait_for_room()
                 if self._http.they_are_waiting_for_100_continue:
@@ -621,6 +631,8 @@
             return
         self.send_head(status, ((b"Connection", b"close"),), 0)
         self.finish_response()
+        self._release_head()
+        self._discard_rest()
 
 
 def _measure(head: _messages.RequestHead) -> int:
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_received_memory.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_received_memory.py
@@ -139,3 +139,29 @@
     eventlet.sleep(0.05)
     sock.sendall(GET * 2500)
     eventually(lambda: memory.budget.held_bytes > 20000)
+
+
+def test_body_announced_over_the_limit_is_refused_before_it_is_read(
+    start_server, connect, memory
+):
+    server = start_server(respond)
+    server.limits = connections.ServerLimits(max_body_bytes=100000)
+    head = POST + b"Expect: 100-continue\r\nContent-Length: 100001\r\n\r\n"
+    sock = connect(server.address, head)
+    assert sock.recv(1000).split()[1] == b"413"
+    assert not memory.budget.held_bytes
+
+
+def test_refusal_arrives_although_the_body_is_sent(
+    start_server, connect, receive_all
+):
+    """A connection that is closed with bytes unread is reset."""
+    server = start_server(respond)
+    server.limits = connections.ServerLimits(max_body_bytes=100000)
+    head = POST + b"Content-Length: 600000\r\n\r\n"
+    sock = connect(server.address, head)
+    sender = eventlet.spawn(sock.sendall, bytes(600000))
+    received, was_reset = receive_all(sock)
+    sender.wait()
+    assert received.split()[1] == b"413"
+    assert not was_reset
