Receive bodies within the limit in chunks of one byte

A caller whose body is within `max-body-bytes` got 413 when it came in chunks of fewer than about five bytes: its framing was bounded by `max-body-bytes`, and a chunk of one byte has five bytes of framing. The bound now grows with the body that has arrived; extensions and long sizes are bounded as before. The new test failed before (413).

--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -33,6 +33,9 @@
 # account. Heads within the usual limit need no more.
 _FREE_HEAD_BYTES = 32768
 _POLL_ROOM_MS = 100.0  # between looks for room to read ahead
+# Wire bytes of a byte of a body in a chunk of its own: its size in one digit
+# and two line ends.
+_WIRE_BYTES_PER_BYTE = 6
 _FIELD_BYTES = 128  # of a header field, in addition to its content
 _UNIT_BYTES = 4096  # bytes that are received in one unit of work
 _HTTP_1_0 = b"1.0"
@@ -436,7 +439,9 @@
                     )
             elif isinstance(event, h11.Data):
                 body += event.data
-                framing_bytes = self._body_wire_bytes - len(body)
+                framing_bytes = (
+                    self._body_wire_bytes - _WIRE_BYTES_PER_BYTE * len(body)
+                )
                 # Bytes of the next request may have been received as well.
                 if (
                     len(body) > max_body_bytes
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_server.py
@@ -251,3 +251,25 @@
     assert sock.recv(65536).split()[1] == b"200"
     assert received == [b"x" * (chunk_bytes * count)]
     sock.close()
+
+
+def test_largest_body_is_received_in_the_smallest_chunks(start_server):
+    """Guards against a limit on framing that counts the body against it."""
+    received = []
+
+    def handler(exchange):
+        received.append(len(exchange.body))
+        exchange.respond(200, (), b"")
+
+    server = start_server(handler)
+    server.limits = connections.ServerLimits(max_body_bytes=50_000)
+    host, port = server.address.rsplit(":", 1)
+    sock = green_socket.create_connection((host, int(port)))
+    sock.settimeout(30)
+    sock.sendall(
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    sock.sendall(b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n")
+    assert sock.recv(65536).split()[1] == b"200"
+    assert received == [50_000]
+    sock.close()
