Bound the connections that others open, by memory and descriptors

Callers could not connect: 600 clients that sent nothing, a part of a head or no body held 613 descriptors in a process that may open 400. Nothing bounded the connections of a listener, and where the descriptors end, `accept` fails for all and no engine can be reached either.

Each listener now has a limit by the settings. A connection beyond it replaces the one that was idle for longest, or one whose caller has not read its answer for a second; a request in flight that is read keeps its connection, and the new one is closed unread, after which its caller may repeat anything. The receive buffer of a connection is 64 KB, so that the limit also bounds what the kernel holds. A crowd on the other listeners is smaller for the same reason.

--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -459,14 +459,13 @@
                 cold_overage=_configuration.COLD_OVERAGE,
                 cold_slack=_configuration.COLD_SLACK,
                 memory_bytes=self.memory_bytes,
+                max_descriptors=self.max_descriptors,
                 fair_shares=self.fair_shares,
                 queries_load=True,
             ),
         )
         path = self.folder / f"{name}.toml"
-        path.write_text(
-            hollycart_standins.encode_settings(cfg, self.max_descriptors)
-        )
+        path.write_text(hollycart_standins.encode_settings(cfg))
         process = fleet.BenchProcess(
             name,
             fleet.python_module("hollycart_platform.serve"),
--- a/packages/hollycart-core/src/hollycart_core/connections/_exchange_memory.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_exchange_memory.py
@@ -131,6 +131,11 @@
         if not self._writer.is_empty:
             self._wait()
 
+    @property
+    def stalled_since_ms(self) -> float | None:
+        """Instant since which the caller does not accept what is sent."""
+        return self._account.since_ms if self._account.is_buffered else None
+
     @property
     def was_buffered(self) -> bool:
         """Whether the caller did not accept something at once."""
--- a/packages/hollycart-core/src/hollycart_core/connections/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server.py
@@ -10,6 +10,7 @@
 from eventlet.green import socket
 
 from hollycart_core import base
+from hollycart_core.connections import _connection_limit
 from hollycart_core.connections import _exchange
 from hollycart_core.connections import _memory_gate
 from hollycart_core.connections import _server_connection
@@ -17,6 +18,9 @@
 from hollycart_core.connections import _sockets
 
 _BACKLOG = 1024
+# Receive buffer of a connection. Linux would let it grow to several MB for
+# each caller whose bytes are not read.
+RECEIVE_BUFFER_BYTES = 65536
 _FINISH_POLL_MS = 2.0
 _DEFAULT_LIMITS = _server_interface.ServerLimits()
 
@@ -32,11 +36,15 @@
         limits: Limits on requests.
         memory: Bounds what is held for callers. Without it, sending a response
             waits for the caller.
+        max_connections: Largest number of open connections; 0 for no limit.
 
     Attributes:
         draining: Whether responses carry `Connection: close`.
         closing: Whether the server no longer accepts connections.
         running: Number of requests in flight.
+        evicted: Number of connections that were closed in favour of others.
+        refused: Number of connections that were closed at once, since all
+            others had requests in flight.
     """
 
     def __init__(
@@ -46,12 +54,16 @@
         clock: base.Clock,
         limits: _server_interface.ServerLimits = _DEFAULT_LIMITS,
         memory: _memory_gate.MemoryGate | None = None,
+        max_connections: int = 0,
     ) -> None:
         self.address = address
         self.handler = handler
         self.clock = clock
         self.limits = limits
         self.memory = memory
+        self.max_connections = max_connections
+        self.evicted = 0
+        self.refused = 0
         self.draining = False
         self.closing = False
         self.running = 0
@@ -68,6 +80,10 @@
         host, _, port = self.address.rpartition(":")
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit the size.
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         listener.bind((host, int(port)))
         listener.listen(_BACKLOG)
         self._listener = listener
@@ -130,7 +146,16 @@
                 return  # none is waiting
             self._start_connection(greenio.GreenSocket(sock))
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     def _start_connection(self, sock: Any) -> None:
+        if not self._make_room():
+            self.refused += 1
+            sock.close()
+            return
         try:
             _sockets.configure(sock, _server_connection.TCP_USER_TIMEOUT_MS)
         except OSError as exc:
@@ -141,6 +166,22 @@
         self._connections.add(conn)
         eventlet.spawn_n(self._serve_connection, conn)
 
+    def _make_room(self) -> bool:
+        """Returns whether one more connection may be opened."""
+        if not self.max_connections:
+            return True
+        if len(self._connections) < self.max_connections:
+            return True
+        victim = _connection_limit.choose_victim(
+            self._connections, self.clock.now_ms()
+        )
+        if victim is None:
+            return False
+        self.evicted += 1
+        self._connections.discard(victim)
+        victim.terminate()
+        return True
+
     def _serve_connection(
         self, conn: _server_connection.ServerConnection
     ) -> None:
--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -58,6 +58,8 @@
 
     Attributes:
         busy: Whether a request is being answered.
+        active_ms: Instant at which something was received or a response
+            ended, in ms of the clock.
         memory: What is held for the request in progress; None if there is none
             or nothing bounds it.
     """
@@ -65,6 +67,7 @@
     def __init__(self, server: _server_interface.Server, sock: Any) -> None:
         self.server = server
         self.busy = False
+        self.active_ms = server.clock.now_ms()
         self.memory: _exchange_memory.ExchangeMemory | None = None
         self._sock = sock
         self._http = self._new_parser()
@@ -81,6 +84,11 @@
         self._thread: Any = None
         self._work = base.WorkMeter(f"request to {server.address}")
 
+    @property
+    def stalled_since_ms(self) -> float | None:
+        """Instant since which the caller does not accept its response."""
+        return None if self.memory is None else self.memory.stalled_since_ms
+
     def run(self) -> None:
         """Serves requests until the connection ends."""
         if self._sock is None:
@@ -258,6 +266,7 @@
             self._close_memory()
             self.server.running -= 1
             self.busy = False
+            self.active_ms = self.server.clock.now_ms()
         if self._sock is None or self._caller_gone:
             return False
         if exchange.refusal is not None:
@@ -532,6 +541,7 @@
             return False
         self._work.add(len(data) // _UNIT_BYTES)
         self._body_wire_bytes += len(data)
+        self.active_ms = self.server.clock.now_ms()
         self._http.receive_data(data)
         if body_since_ms is None:
             if self.memory is None:
--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -167,6 +167,7 @@
         self._metrics_server = connections.HttpExchangeServer(
             f"{cfg.ip}:{cfg.metrics_port}", self._serve_metrics, clock
         )
+        self._limit_connections()
 
     def start(self) -> None:
         """Starts all components.
@@ -252,6 +253,7 @@
         self.reader.schedule = _read_schedule(cfg)
         self.forwarder.apply_policy(self.cfg.policy)
         _memory.apply_bounds(self.memory.budget, self.cfg.policy)
+        self._limit_connections()
         budget = self.forwarder.budget
         budget.ratio = cfg.retry_ratio
         budget.window_ms = cfg.retry_window_ms
@@ -339,6 +341,14 @@
                 cfg.limits.idle_timeout_ms,
             )
 
+    def _limit_connections(self) -> None:
+        """Bounds the connections that others open, by the settings."""
+        limits = _memory.limit_connections(self.cfg.policy)
+        self.front_server.max_connections = limits.front
+        self._peer_server.max_connections = limits.peers
+        self._ready_server.max_connections = limits.ready
+        self._metrics_server.max_connections = limits.metrics
+
     def _serve_readiness(self, exchange: connections.Exchange) -> None:
         exchange.respond(200 if self.ready else 503, (), b"")
 
@@ -367,6 +377,9 @@
         values = {
             "running": float(self.front_server.running),
             "ready": float(self.ready),
+            "connections": float(self.front_server.connection_count),
+            "connections_evicted": float(self.front_server.evicted),
+            "connections_refused": float(self.front_server.refused),
             "peers": float(len(self.peers.live())),
             "fleet_instances": float(self.peers.fleet_size()),
             "isolated": float(contact.is_isolated),
--- a/packages/hollycart/src/hollycart/gateway/_memory.py
+++ b/packages/hollycart/src/hollycart/gateway/_memory.py
@@ -1,5 +1,7 @@
 """Divides the memory of the process."""
 
+from typing import NamedTuple
+
 from hollycart.gateway import _settings
 from hollycart_core import base
 from hollycart_core import connections
@@ -18,6 +20,63 @@
 # An engine cuts off a response that was not read for 2 s. Callers that read
 # promptly take a megabyte in a fifth of this time at 10 MB/s.
 _WAIT_MS = 500.0
+# A connection that is idle or receives a head: its thread, socket and parser, a
+# head within the usual limit, and the receive buffer of the kernel.
+_CONNECTION_BYTES = 96 << 10
+_CONNECTIONS_SHARE = 0.3  # of the rest, for connections of callers
+# Files, listeners and connections that are not for a caller's request.
+_RESERVED_DESCRIPTORS = 200
+_MIN_CONNECTIONS = 16  # of a listener
+
+
+class ConnectionLimits(NamedTuple):
+    """Largest number of connections that others open to a listener.
+
+    Attributes:
+        front: Of callers.
+        peers: Of other instances.
+        ready: Of load balancers.
+        metrics: Of collectors and operators.
+    """
+
+    front: int
+    peers: int
+    ready: int
+    metrics: int
+
+
+# Callers have the largest part. All other instances may fetch the state at
+# once, and a balancer or a collector keeps a few connections.
+_SHARES = ConnectionLimits(10, 4, 1, 1)
+
+
+def limit_connections(policy: _settings.PolicySettings) -> ConnectionLimits:
+    """Returns the limits by memory and descriptors of the process.
+
+    A request in flight takes a second connection, to its endpoint.
+
+    Example:
+        >>> policy = _settings.PolicySettings(
+        ...     memory_bytes=300 << 20, max_descriptors=4100
+        ... )
+        >>> limit_connections(policy)
+        ConnectionLimits(front=480, peers=192, ready=48, metrics=48)
+        >>> limit_connections(policy._replace(max_descriptors=300)).front
+        31
+    """
+    memory_bytes = policy.memory_bytes or base.machine_memory_bytes()
+    by_memory = (
+        (memory_bytes - _PROCESS_BYTES) * _CONNECTIONS_SHARE / _CONNECTION_BYTES
+    )
+    descriptors = policy.max_descriptors or base.max_descriptors()
+    by_descriptors = (descriptors - _RESERVED_DESCRIPTORS) / 2
+    total = min(by_memory, by_descriptors)
+    return ConnectionLimits(
+        *(
+            max(_MIN_CONNECTIONS, int(total * share / sum(_SHARES)))
+            for share in _SHARES
+        )
+    )
 
 
 def make_gate(
--- a/packages/hollycart/src/hollycart/gateway/_settings.py
+++ b/packages/hollycart/src/hollycart/gateway/_settings.py
@@ -15,6 +15,8 @@
             cold endpoint and all instances together.
         memory_bytes: Memory of the process, in bytes, by which what is held for
             callers and endpoints is bounded; 0 for that of the machine.
+        max_descriptors: Files and sockets that the process may open; 0 for the
+            limit of the operating system.
         tolerated_zones: Number of availability zones whose loss must be borne.
         fair_shares: Whether teams share capacity that is scarce.
         queries_load: Whether endpoints may be asked for their load while
@@ -27,6 +29,7 @@
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     memory_bytes: int = 0
+    max_descriptors: int = 0
     tolerated_zones: int = 0
     fair_shares: bool = False
     queries_load: bool = False
