Refuse bodies on the listeners that are not for callers

Callers saw refused connections after a crowd had sent bodies of 4 MB to the port of the other instances: its listener, like those for readiness and metrics, received bodies by the default limits and kept no account of them (148 MB of 128 with connections already bounded, 295 MB before). No request to them has a body, so any is refused with 413. What is sent to other instances counts in the budget; readiness and metrics answer also while it is used up.

--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -1,6 +1,7 @@
 """A gateway instance: its components, their start and their shutdown."""
 
 import collections
+from collections.abc import Callable
 import random
 
 from hollycart import observe
@@ -36,6 +37,8 @@
 _DRAIN_POLL_MS = 50.0
 # Time to refuse what has arrived but was not read when the drain ends.
 _FINISH_TIMEOUT_MS = 300.0
+# The requests of balancers, collectors and other instances have no body.
+_BODILESS = connections.ServerLimits(max_body_bytes=0)
 # Lease of the record by which other instances discover this one.
 _REGISTRATION_LEASE_MS = 30000.0
 
@@ -155,17 +158,17 @@
             clock,
             memory=self.memory,
         )
-        self._ready_server = connections.HttpExchangeServer(
-            cfg.ready_address, self._serve_readiness, clock
+        self._ready_server = self._make_server(
+            cfg.ready_address, self._serve_readiness
         )
-        self._peer_server = connections.HttpExchangeServer(
-            f"{cfg.ip}:{cfg.peer_port}", self._serve_state, clock
+        self._peer_server = self._make_server(
+            f"{cfg.ip}:{cfg.peer_port}", self._serve_state, self.memory
         )
         self._loop_watch = base.LoopWatch(clock, self._record_loop_delay)
         self._metrics_page: observe.MetricsPage | None = None
         self._where_page = _where_page.WherePage(self.forwarder)
-        self._metrics_server = connections.HttpExchangeServer(
-            f"{cfg.ip}:{cfg.metrics_port}", self._serve_metrics, clock
+        self._metrics_server = self._make_server(
+            f"{cfg.ip}:{cfg.metrics_port}", self._serve_metrics
         )
         self._limit_connections()
 
@@ -341,6 +344,20 @@
                 cfg.limits.idle_timeout_ms,
             )
 
+    def _make_server(
+        self,
+        address: str,
+        handler: Callable[[connections.Exchange], None],
+        memory: connections.MemoryGate | None = None,
+    ) -> connections.HttpExchangeServer:
+        """Returns a server for requests that are not of callers.
+
+        Without `memory` it answers also while there is no room for callers.
+        """
+        return connections.HttpExchangeServer(
+            address, handler, self.clock, _BODILESS, memory
+        )
+
     def _limit_connections(self) -> None:
         """Bounds the connections that others open, by the settings."""
         limits = _memory.limit_connections(self.cfg.policy)
