Bound heads and the framing of chunks by their limit and 8 KB

A client could make an instance hold a head, the size of a chunk or an extension of up to `max-header-bytes` and 64 KB on each connection, the size of one read of a body. Heads are read in pieces of 8 KB, so the check needs no more than that. The new test failed before: 12,000 bytes passed a limit of 1,000.

--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -488,7 +488,7 @@
 
         This includes the heads of chunks and trailers.
         """
-        limit_bytes = self.server.limits.max_header_bytes + _READ_BYTES
+        limit_bytes = self.server.limits.max_header_bytes + _HEAD_READ_BYTES
         if len(self._http.trailing_data[0]) <= limit_bytes:
             return True
         self._reject(431, f"head exceeds {limit_bytes} bytes")
--- a/packages/hollycart-core/src/hollycart_core/connections/_server_interface.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_interface.py
@@ -14,7 +14,7 @@
 
     Attributes:
         max_header_bytes: Limit on the request head, in bytes. The head may
-            exceed it by the size of one read.
+            exceed it by the size of one read, 8 KB.
         max_body_bytes: Largest request body, in bytes.
         header_timeout_ms: Time from the first byte of a request to its
             complete head, in ms.
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_received_memory.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_received_memory.py
@@ -59,6 +59,14 @@
     assert memory.budget.held_bytes < 2 << 20
 
 
+def test_head_exceeds_its_limit_by_one_read_at_most(start_server, connect):
+    """Guards against heads that are much longer than what is announced."""
+    server = start_server(respond)
+    server.limits = connections.ServerLimits(max_header_bytes=1000)
+    sock = connect(server.address, POST + b"X-Field: " + b"x" * 12000)
+    assert sock.recv(1000).split()[1] == b"431"
+
+
 def test_ordinary_head_needs_no_account(start_server, connect, memory):
     held = []
 
