Bound what callers make an entry instance hold

Callers of the product's own interface saw refused connections: 64 clients with bodies of up to 4 MB took an entry process to 335 MB, where its machine has 160 MB. Nothing bounded the bodies of all connections together. The line that holds the size of a chunk was gathered as long as it came, and with all places taken by idle clients no caller was accepted for 15 s.

`--memory-mb` (default: the memory of the machine) now bounds bodies by the same budget as a gateway's, and the number of connections. A request whose body stops short gives way to others with 503; an idle connection gives way to a new one. Lines of a chunked body are bounded, and bodies are read in pieces of 16 KB, of 4 KB if chunked.

--- a/packages/hollycart-bench/src/hollycart_bench/local.py
+++ b/packages/hollycart-bench/src/hollycart_bench/local.py
@@ -1,6 +1,7 @@
 """A small system inside one process, for integration tests."""
 
 import hashlib
+import pathlib
 import random
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from hollycart import entry
 from hollycart_bench import engine
+from hollycart_bench import fleet
 from hollycart_bench import platform
 from hollycart_bench import ports
 from hollycart_core import base
@@ -99,8 +101,53 @@
 
     def add_instance(self, name: str) -> entry.Instance:
         """Starts another instance and adds it to the instance list."""
+        cfg = entry.parse_settings(self._add_settings(name))
+        instance = entry.Instance(cfg, self.clock, random.Random(7))
+        self.instances.append(instance)
+        instance.start()
+        return instance
+
+    def start_process(
+        self, name: str, folder: pathlib.Path
+    ) -> tuple[fleet.BenchProcess, int, int]:
+        """Starts an instance in a process of its own and waits for it.
+
+        Returns:
+            The process, its port for callers and that for other instances.
+
+        Raises:
+            TimeoutError: If the instance is not ready within 20 s.
+        """
+        values = self._add_settings(name)
+        flags = [
+            f"--{key.replace('_', '-')}={value}"
+            for key, value in values.items()
+        ]
+        process = fleet.BenchProcess(
+            name, fleet.python_module("hollycart.main", "serve", *flags), folder
+        )
+        process.start()
+        port = int(values["port"])
+        self.wait_for(lambda: self._is_ready(port))
+        return process, port, int(values["peer_port"])
+
+    def _is_ready(self, port: int) -> bool:
+        try:
+            url = f"http://{HOST}:{port}/readyz"
+            return self.client.send("GET", url, timeout_ms=500).status == 200
+        except base.HollycartError:
+            return False
+
+    def _add_settings(self, name: str) -> dict[str, str]:
+        """Returns the settings of an instance that is added to the list."""
         port, peer_port = (ports.find_free_port() for _ in range(2))
-        values = {
+        self._add_list_entry(
+            name,
+            membership.KIND_INSTANCE,
+            f"{HOST}:{port}",
+            peer_address=f"{HOST}:{peer_port}",
+        )
+        return {
             "instance_id": name,
             "port": str(port),
             "peer_port": str(peer_port),
@@ -114,17 +161,6 @@
             "list_lag_ms": "100",
             **self.settings,
         }
-        cfg = entry.parse_settings(values)
-        instance = entry.Instance(cfg, self.clock, random.Random(7))
-        self._add_list_entry(
-            name,
-            membership.KIND_INSTANCE,
-            f"{HOST}:{port}",
-            peer_address=f"{HOST}:{peer_port}",
-        )
-        self.instances.append(instance)
-        instance.start()
-        return instance
 
     def address(self, number: int) -> str:
         """Returns the `host:port` of an instance by its index."""
--- /dev/null
+++ b/packages/hollycart-bench/src/hollycart_bench/unruly/tests/test_entry.py
@@ -0,0 +1,118 @@
+"""Entry processes in front of clients that do not behave."""
+
+import eventlet
+import msgspec
+import pytest
+
+from hollycart_bench import local
+from hollycart_bench import unruly
+from hollycart_core import base
+
+MEMORY_BYTES = 160 << 20  # that the process is told to have
+MAX_DESCRIPTORS = 400
+MAX_BODY_BYTES = 4 << 20
+_ATTEMPTS = 20
+_TIMEOUT_MS = 30000.0
+_PATH = "/v1/completions"
+
+
+@pytest.fixture
+def system():
+    """Stand-ins of store, instance list and engines."""
+    running = local.LocalSystem(
+        0,
+        2,
+        settings={
+            "memory_mb": str(MEMORY_BYTES >> 20),
+            "max_conns": "100",
+            "max_body_bytes": str(MAX_BODY_BYTES),
+        },
+    )
+    running.start()
+    yield running
+    running.close()
+
+
+@pytest.fixture
+def started(system, tmp_path):
+    """The process, its port for callers and that for instances."""
+    process, *found = system.start_process("i0", tmp_path)
+    yield process, *found
+    process.kill()
+
+
+@pytest.fixture
+def watch(started):
+    process, port, peer_port = started
+    watched = unruly.ProcessWatch(process.pid, (port, peer_port))
+    watched.start()
+    yield watched
+    watched.close()
+
+
+@pytest.fixture
+def start_crowd():
+    """Starts a crowd and waits until it gets no further."""
+    crowds = []
+
+    def start(port, kind):
+        crowd = unruly.Crowd(
+            f"{local.HOST}:{port}",
+            unruly.KINDS[kind],
+            lambda number: (
+                f"POST {_PATH} HTTP/1.1\r\nHost: h\r\nX-Client: {number}\r\n"
+                f"Authorization: Bearer {local.TEAM_KEY}\r\n"
+            ).encode(),
+            MAX_BODY_BYTES,
+        )
+        crowds.append(crowd)
+        crowd.start()
+        crowd.wait_settled()
+        return crowd
+
+    yield start
+    for crowd in crowds:
+        crowd.close()
+
+
+@pytest.fixture
+def ask(system, started):
+    """Sends an ordinary request, as often as a caller may."""
+    _, port, _ = started
+    value = {"model": local.MODEL, "prompt": "hello", "max_tokens": 4}
+
+    def send():
+        for _ in range(_ATTEMPTS):
+            try:
+                response = system.client.send(
+                    "POST",
+                    f"http://{local.HOST}:{port}{_PATH}",
+                    msgspec.json.encode(value),
+                    {"Authorization": f"Bearer {local.TEAM_KEY}"},
+                    _TIMEOUT_MS,
+                )
+            except base.HollycartError:
+                eventlet.sleep(0.5)
+                continue
+            if response.status == 200:
+                return response.json()["usage"]["completion_tokens"] == 4
+            eventlet.sleep(0.5)
+        return False
+
+    return send
+
+
+@pytest.mark.parametrize("kind", unruly.KINDS)
+def test_callers_are_served_beside_a_crowd(
+    kind, started, watch, start_crowd, ask
+):
+    """Guards against a process that runs out of memory or descriptors."""
+    process, port, _ = started
+    crowd = start_crowd(port, kind)
+    assert ask()
+    crowd.close()
+    assert ask()
+    watch.close()
+    assert process.is_running
+    assert watch.max_memory_bytes <= MEMORY_BYTES
+    assert watch.max_descriptors <= MAX_DESCRIPTORS
--- a/packages/hollycart-core/src/hollycart_core/connections/__init__.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from hollycart_core.connections._client import ClientConnection
+from hollycart_core.connections._connection_limit import choose_victim
 from hollycart_core.connections._exchange import CallerGoneError
 from hollycart_core.connections._exchange import Exchange
 from hollycart_core.connections._memory_budget import MemoryAccount
@@ -22,10 +23,14 @@
 from hollycart_core.connections._messages import end_to_end_headers
 from hollycart_core.connections._messages import find_header
 from hollycart_core.connections._pool import ConnectionPool
+from hollycart_core.connections._process_bounds import bound_connections
+from hollycart_core.connections._process_bounds import bound_held_bytes
+from hollycart_core.connections._server import RECEIVE_BUFFER_BYTES
 from hollycart_core.connections._server import HttpExchangeServer
 from hollycart_core.connections._server_interface import ServerLimits
 
 __all__ = [
+    "RECEIVE_BUFFER_BYTES",
     "CallerGoneError",
     "ClientConnection",
     "ConnectionPool",
@@ -42,6 +47,9 @@
     "ResponseHead",
     "ResponseShedError",
     "ServerLimits",
+    "bound_connections",
+    "bound_held_bytes",
+    "choose_victim",
     "end_to_end_headers",
     "find_header",
 ]
--- a/packages/hollycart-core/src/hollycart_core/http/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/http/_server.py
@@ -8,6 +8,10 @@
 import eventlet
 from eventlet import greenio
 from eventlet import wsgi
+from eventlet.green import socket
+
+from hollycart_core import connections
+from hollycart_core.http import _connections
 
 _SOCKET_TIMEOUT_S = 15  # per socket operation
 _BACKLOG = 1024
@@ -20,7 +24,8 @@
         app: The WSGI application.
         host: IP address to listen on.
         port: TCP port; zero selects a free one at the start.
-        max_conns: Largest number of concurrent connections.
+        max_conns: Largest number of concurrent connections. Beyond it, the one
+            that is idle for longest gives way.
     """
 
     def __init__(
@@ -47,6 +52,12 @@
         self._sock = eventlet.listen(
             (self.host, self.port), backlog=_BACKLOG, reuse_port=False
         )
+        # Accepted connections inherit the size.
+        self._sock.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            connections.RECEIVE_BUFFER_BYTES,
+        )
         self.port = self._sock.getsockname()[1]
         self._thread = eventlet.spawn(self._serve)
 
@@ -61,12 +72,15 @@
             self._sock = None
 
     def _serve(self) -> None:
+        pool = _connections.ConnectionPool(self.max_conns)
         wsgi.server(
             self._sock,
             self.app,
+            environ={_connections.CONNECTION_KEY: pool},
+            protocol=_connections.BoundedProtocol,
+            custom_pool=pool,
             log=self._log,
             log_output=False,
-            max_size=self.max_conns,
             minimum_chunk_size=0,
             socket_timeout=_SOCKET_TIMEOUT_S,
             keepalive=True,
--- a/packages/hollycart-core/src/hollycart_core/http/_wsgi.py
+++ b/packages/hollycart-core/src/hollycart_core/http/_wsgi.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import time
 from typing import Any
 
 import eventlet
 import msgspec
 
 from hollycart_core import base
+from hollycart_core import connections
+from hollycart_core.http import _connections
+from hollycart_core.http import _request_memory
 
 StartResponse = Callable[..., Any]
 
@@ -23,7 +25,9 @@
     429: "Too Many Requests",
     503: "Service Unavailable",
 }
-_READ_BYTES = 1 << 18
+_READ_BYTES = 1 << 14
+# Chunks of a few bytes take many times their size until they are joined.
+_CHUNKED_READ_BYTES = 1 << 12
 
 
 def respond(
@@ -58,7 +62,9 @@
     limit_bytes: int,
     timeout_ms: float = 30_000,
 ) -> bytes:
-    """Reads a request body.
+    """Reads a request body, as far as there is memory for it.
+
+    While it is read, the connection may give way to a new one.
 
     Args:
         environ: The WSGI environment.
@@ -73,6 +79,7 @@
             truncated.
         PayloadTooLargeError: If the body exceeds `limit_bytes`.
         BodyTimeoutError: If the body does not arrive in time.
+        OverloadedError: If the request gave way to others that need memory.
     """
     chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
     raw_length = environ.get("CONTENT_LENGTH") or "0"
@@ -81,24 +88,25 @@
     length = int(raw_length)
     if length > limit_bytes:
         raise base.PayloadTooLargeError(f"over {limit_bytes} bytes")
-    stream = environ["wsgi.input"]
     # One byte more than the limit shows that a chunked body is too large.
     max_read_bytes = limit_bytes + 1 if chunked else length
+    conn = environ.get(_connections.CONNECTION_KEY)
+    if conn is not None:
+        conn.set_busy(False)
     body = bytearray()
-    deadline_s = time.monotonic() + timeout_ms / 1000.0
-    timer = eventlet.Timeout(max(0.001, deadline_s - time.monotonic()))
+    timer = eventlet.Timeout(max(0.001, timeout_ms / 1000.0))
     try:
-        while len(body) < max_read_bytes:
-            chunk = stream.read(min(_READ_BYTES, max_read_bytes - len(body)))
-            if not chunk:
-                break
-            body += chunk
+        _receive(environ, body, max_read_bytes, chunked)
+        if conn is not None:
+            conn.set_busy(True)
     except eventlet.Timeout as exc:
         if exc is not timer:
             raise
-        raise base.BodyTimeoutError("body") from exc
+        raise base.BodyTimeoutError("body") from None
+    except connections.ResponseShedError as exc:
+        raise _request_memory.refuse(exc) from None
     except (OSError, ValueError) as exc:
-        raise base.InvalidRequestError("body ended early") from exc
+        raise base.InvalidRequestError(f"body ended early: {exc}") from None
     finally:
         timer.cancel()
     if chunked and len(body) > limit_bytes:
@@ -106,3 +114,25 @@
     if not chunked and len(body) < length:
         raise base.InvalidRequestError("body ended early")
     return bytes(body)
+
+
+def _receive(
+    environ: dict[str, Any], body: bytearray, max_bytes: int, chunked: bool
+) -> None:
+    """Receives up to `max_bytes` of a body, while there is room for it."""
+    stream = environ["wsgi.input"]
+    memory = environ.get(_request_memory.MEMORY_KEY)
+    read_bytes = _CHUNKED_READ_BYTES if chunked else _READ_BYTES
+    if memory is not None:
+        memory.start()
+    while len(body) < max_bytes:
+        if memory is not None:
+            memory.wait()
+        chunk = stream.read(min(read_bytes, max_bytes - len(body)))
+        if not chunk:
+            break
+        body += chunk
+        if memory is not None:
+            memory.add(len(chunk))
+    if memory is not None:
+        memory.complete()
--- a/packages/hollycart/src/hollycart/entry/_app.py
+++ b/packages/hollycart/src/hollycart/entry/_app.py
@@ -13,6 +13,7 @@
 from hollycart.entry import _lifecycle
 from hollycart.entry import _service_calls
 from hollycart_core import base
+from hollycart_core import connections
 from hollycart_core import http
 from hollycart_core import table
 
@@ -30,6 +31,7 @@
         admin: Serves the admin paths.
         lifecycle: Readiness and requests in flight.
         metrics: Counters.
+        memory: Bounds the bodies that are held for all callers.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         admin: _admin.AdminHandler,
         lifecycle: _lifecycle.Lifecycle,
         metrics: observe.Metrics,
+        memory: connections.MemoryGate,
     ) -> None:
         self.table_follower = table_follower
         self.directory = directory
@@ -49,6 +52,7 @@
         self.admin = admin
         self.lifecycle = lifecycle
         self.metrics = metrics
+        self.memory = memory
 
     def __call__(
         self, environ: dict[str, Any], start_response: Any
@@ -59,17 +63,24 @@
             return self._health_response(path, start_response)
         start = self._with_connection_close(start_response)
         self.lifecycle.enter()
+        memory = http.RequestMemory(self.memory)
+        environ[http.MEMORY_KEY] = memory
+
+        def end() -> None:
+            memory.close()
+            self.lifecycle.leave()
+
         try:
             body = self._route(path, environ, start)
         except base.HollycartError as exc:
-            self.lifecycle.leave()
+            end()
             self.metrics.count(f"error.{exc.code}")
             return _error_response(start, exc)
         except BaseException:
-            self.lifecycle.leave()
+            end()
             self.metrics.count("error.unexpected")
             raise
-        return _TrackedBody(body, self.lifecycle.leave)
+        return _TrackedBody(body, end)
 
     def _route(
         self, path: str, environ: dict[str, Any], start_response: Any
--- a/packages/hollycart/src/hollycart/entry/_instance.py
+++ b/packages/hollycart/src/hollycart/entry/_instance.py
@@ -17,6 +17,7 @@
 from hollycart.entry import _completions
 from hollycart.entry import _directory
 from hollycart.entry import _lifecycle
+from hollycart.entry import _memory
 from hollycart.entry import _order_loop
 from hollycart.entry import _permit_client
 from hollycart.entry import _pool_owner
@@ -108,6 +109,7 @@
             self.metrics,
         )
         self.orders = self._order_loop()
+        self.memory = _memory.make_gate(cfg, clock)
         self.max_stall_ms = 0.0
         self._started_cpu_s = 0.0
         self._periodic_tasks: list[base.PeriodicTask] = []
@@ -135,7 +137,10 @@
         )
         self._peer_server.start()
         self._server = http.HttpServer(
-            self._build_app(), self.cfg.host, self.cfg.port, self.cfg.max_conns
+            self._build_app(),
+            self.cfg.host,
+            self.cfg.port,
+            _memory.limit_connections(self.cfg),
         )
         self._server.start()
         eventlet.spawn(self._become_ready)
@@ -184,6 +189,7 @@
             "ready": self.lifecycle.ready,
             "draining": self.lifecycle.draining,
             "running": self.lifecycle.running,
+            "body_bytes": self.memory.budget.held_bytes,
             "unsettled": self.claim_service.unsettled,
             "table_revision": self.table_follower.current.revision,
             "members": self.view.live(now_ms),
@@ -293,6 +299,7 @@
             ),
             self.lifecycle,
             self.metrics,
+            self.memory,
         )
 
     def _become_ready(self) -> None:
--- a/packages/hollycart/src/hollycart/entry/_settings.py
+++ b/packages/hollycart/src/hollycart/entry/_settings.py
@@ -45,6 +45,7 @@
     max_body_bytes: int
     body_timeout_ms: int
     max_conns: int
+    memory_mb: int
     bytes_per_token: float
     list_interval_ms: int
     exchange_interval_ms: int
@@ -133,7 +134,17 @@
         "Time for a caller to send its body, in ms.", "20000", 10, 600_000
     ),
     "max_conns": SettingSpec(
-        "Maximum number of connections from callers.", "4096", 1, 65536
+        "Maximum number of connections from callers; fewer if memory or the "
+        "limit on open files require it.",
+        "4096",
+        1,
+        65536,
+    ),
+    "memory_mb": SettingSpec(
+        "Memory of the process, in MB; 0 for that of the machine.",
+        "0",
+        0,
+        1 << 24,
     ),
     "bytes_per_token": SettingSpec(
         "Estimate of prompt bytes per token until engines report usage.",
--- a/packages/hollycart/src/hollycart/gateway/_memory.py
+++ b/packages/hollycart/src/hollycart/gateway/_memory.py
@@ -9,23 +9,14 @@
 # Resident memory of an instance that holds nothing for callers, with the state
 # of a large deployment.
 _PROCESS_BYTES = 60 << 20
-# Share of the rest that may be held for requests and responses. What is left
-# over is for threads, sockets and parsers of the connections, for pieces that
-# arrive while there is no room, and for fragmentation.
-_HELD_SHARE = 0.5
-_MIN_HELD_BYTES = 16 << 20
 # The longest answer that is not a stream, and a request body beside it.
 _MIN_ACCOUNT_BYTES = 9 << 20
-_ACCOUNT_SHARE = 0.25
 # An engine cuts off a response that was not read for 2 s. Callers that read
 # promptly take a megabyte in a fifth of this time at 10 MB/s.
 _WAIT_MS = 500.0
 # A connection that is idle or receives a head: its thread, socket and parser, a
 # head within the usual limit, and the receive buffer of the kernel.
 _CONNECTION_BYTES = 96 << 10
-_CONNECTIONS_SHARE = 0.3  # of the rest, for connections of callers
-# Files, listeners and connections that are not for a caller's request.
-_RESERVED_DESCRIPTORS = 200
 _MIN_CONNECTIONS = 16  # of a listener
 
 
@@ -53,8 +44,6 @@
 def limit_connections(policy: _settings.PolicySettings) -> ConnectionLimits:
     """Returns the limits by memory and descriptors of the process.
 
-    A request in flight takes a second connection, to its endpoint.
-
     Example:
         >>> policy = _settings.PolicySettings(
         ...     memory_bytes=300 << 20, max_descriptors=4100
@@ -64,13 +53,11 @@
         >>> limit_connections(policy._replace(max_descriptors=300)).front
         31
     """
-    memory_bytes = policy.memory_bytes or base.machine_memory_bytes()
-    by_memory = (
-        (memory_bytes - _PROCESS_BYTES) * _CONNECTIONS_SHARE / _CONNECTION_BYTES
+    total = connections.bound_connections(
+        _left_bytes(policy),
+        _CONNECTION_BYTES,
+        policy.max_descriptors or base.max_descriptors(),
     )
-    descriptors = policy.max_descriptors or base.max_descriptors()
-    by_descriptors = (descriptors - _RESERVED_DESCRIPTORS) / 2
-    total = min(by_memory, by_descriptors)
     return ConnectionLimits(
         *(
             max(_MIN_CONNECTIONS, int(total * share / sum(_SHARES)))
@@ -103,9 +90,11 @@
         >>> budget.total_bytes < base.machine_memory_bytes()
         True
     """
-    memory_bytes = policy.memory_bytes or base.machine_memory_bytes()
-    left_bytes = memory_bytes - _PROCESS_BYTES
-    budget.total_bytes = max(_MIN_HELD_BYTES, int(left_bytes * _HELD_SHARE))
-    budget.account_bytes = max(
-        _MIN_ACCOUNT_BYTES, int(budget.total_bytes * _ACCOUNT_SHARE)
+    budget.total_bytes, budget.account_bytes = connections.bound_held_bytes(
+        _left_bytes(policy), _MIN_ACCOUNT_BYTES
     )
+
+
+def _left_bytes(policy: _settings.PolicySettings) -> int:
+    memory_bytes = policy.memory_bytes or base.machine_memory_bytes()
+    return memory_bytes - _PROCESS_BYTES
