Fail a response whose connection is reset, also during the upload

Callers of the product's own interface got a part of an answer as a complete one: a service answered a call at once with a 200 that had no length, sent a part of its body and reset the connection, also while the body of the call was still being written. eventlet's sockets report a reset as an orderly end, and urllib3 reads the response although sending failed, which takes the error off the socket.

The connections of the HTTP client now read the socket themselves, as those to endpoints of the platform do, and look at the state of TCP at the end: a reset leaves it closed.

Connections to endpoints of the platform did not have the fault, and an answer with the status 000 was a failure for both clients; tests now say so.

--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_client.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_client.py
@@ -88,3 +88,39 @@
     head = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=%s\r\n" % timeout
     conn = exchange([head + b"Content-Length: 1\r\n\r\na"], "keep")
     assert conn.read_head(1000).status == 200
+
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+
+
+# What the kernel takes at once, and what is still written at the reset.
+@pytest.mark.parametrize("size", [10, 1_000_000, 30_000_000])
+def test_part_of_a_response_before_a_reset_during_the_upload_fails(
+    size, scripted_endpoint, clock
+):
+    """Guards against a caller that gets it as a whole response."""
+    address, _ = scripted_endpoint([UNFRAMED, b"part"], "reset")
+    conn = connections.ClientConnection(address, clock)
+    head = connections.RequestHead(b"POST", b"/", ((b"Host", b"h"),))
+    conn.start(1000)
+    with pytest.raises(base.EndpointFailedError):
+        conn.send(head, bytes(size), 2000)
+        conn.read_head(2000)
+        conn.read_body(2000, 100)
+    conn.close()
+
+
+@pytest.mark.parametrize("status", [b"000", b"099"])
+def test_response_with_a_status_below_100_fails(
+    status, scripted_endpoint, clock
+):
+    answer = b"HTTP/1.1 %s Bad\r\nContent-Length: 2\r\n\r\nab" % status
+    address, _ = scripted_endpoint([answer], "keep")
+    conn = connections.ClientConnection(address, clock)
+    conn.start(1000)
+    conn.send(
+        connections.RequestHead(b"GET", b"/", ((b"Host", b"h"),)), b"", 99
+    )
+    with pytest.raises(base.EndpointFailedError):
+        conn.read_head(2000)
+    conn.close()
--- a/packages/hollycart-core/src/hollycart_core/http/_client.py
+++ b/packages/hollycart-core/src/hollycart_core/http/_client.py
@@ -12,8 +12,9 @@
 import msgspec
 
 from hollycart_core import base
+from hollycart_core.http import _strict_connection
 
-urllib3: Any = eventlet.import_patched("urllib3")
+urllib3: Any = _strict_connection.urllib3
 
 _CONNECT_TIMEOUT_MS = 1000
 _READ_BYTES = 65536
@@ -187,6 +188,9 @@
         self._pool = urllib3.PoolManager(
             num_pools=512, maxsize=self.pool_size, retries=False
         )
+        self._pool.pool_classes_by_scheme = {
+            "http": _strict_connection.StrictPool
+        }
 
     def close(self) -> None:
         """Closes all idle connections."""
