Serve callers again after clients had taken all descriptors

Callers of an entry instance were refused for as long as the process ran: 600 idle clients on its port for other instances took all 400 descriptors, `accept` failed on the port for callers, and eventlet's server ends at such a failure.

The listener now waits and accepts again when there are descriptors. Idle connections of clients on the other port end: 2 s without a handshake, 30 s without a call, and a connection has at most 64 calls at a time. Both new tests failed before; the crowd's callers now connect anew for each request, since one on a kept connection was answered. The process of these tests runs under the limit on open files that they check.

A call that is sent in part by a client that speaks HTTP/2 is bounded in size, not in number; no test shows what a crowd of these does.

--- a/packages/hollycart-bench/src/hollycart_bench/local.py
+++ b/packages/hollycart-bench/src/hollycart_bench/local.py
@@ -3,6 +3,7 @@
 import hashlib
 import pathlib
 import random
+import shlex
 from typing import Any
 
 import eventlet
@@ -108,10 +109,15 @@
         return instance
 
     def start_process(
-        self, name: str, folder: pathlib.Path
+        self, name: str, folder: pathlib.Path, max_descriptors: int
     ) -> tuple[fleet.BenchProcess, int, int]:
         """Starts an instance in a process of its own and waits for it.
 
+        Args:
+            name: Identifier in the instance list.
+            folder: Folder of its output.
+            max_descriptors: Files and sockets that it may open.
+
         Returns:
             The process, its port for callers and that for other instances.
 
@@ -123,9 +129,11 @@
             f"--{key.replace('_', '-')}={value}"
             for key, value in values.items()
         ]
-        process = fleet.BenchProcess(
-            name, fleet.python_module("hollycart.main", "serve", *flags), folder
+        command = shlex.join(
+            fleet.python_module("hollycart.main", "serve", *flags)
         )
+        limited = f"ulimit -n {max_descriptors} && exec {command}"
+        process = fleet.BenchProcess(name, ["/bin/sh", "-c", limited], folder)
         process.start()
         port = int(values["port"])
         self.wait_for(lambda: self._is_ready(port))
--- a/packages/hollycart-bench/src/hollycart_bench/unruly/tests/test_entry.py
+++ b/packages/hollycart-bench/src/hollycart_bench/unruly/tests/test_entry.py
@@ -7,12 +7,13 @@
 from hollycart_bench import local
 from hollycart_bench import unruly
 from hollycart_core import base
+from hollycart_core import http
 
 MEMORY_BYTES = 160 << 20  # that the process is told to have
 MAX_DESCRIPTORS = 400
 MAX_BODY_BYTES = 4 << 20
 _ATTEMPTS = 20
-_TIMEOUT_MS = 30000.0
+_TIMEOUT_MS = 10000.0
 _PATH = "/v1/completions"
 
 
@@ -36,7 +37,7 @@
 @pytest.fixture
 def started(system, tmp_path):
     """The process, its port for callers and that for instances."""
-    process, *found = system.start_process("i0", tmp_path)
+    process, *found = system.start_process("i0", tmp_path, MAX_DESCRIPTORS)
     yield process, *found
     process.kill()
 
@@ -76,15 +77,17 @@
 
 
 @pytest.fixture
-def ask(system, started):
+def ask(started):
     """Sends an ordinary request, as often as a caller may."""
     _, port, _ = started
     value = {"model": local.MODEL, "prompt": "hello", "max_tokens": 4}
 
     def send():
         for _ in range(_ATTEMPTS):
+            client = http.HttpClient()  # connects anew
+            client.start()
             try:
-                response = system.client.send(
+                response = client.send(
                     "POST",
                     f"http://{local.HOST}:{port}{_PATH}",
                     msgspec.json.encode(value),
@@ -94,6 +97,8 @@
             except base.HollycartError:
                 eventlet.sleep(0.5)
                 continue
+            finally:
+                client.close()
             if response.status == 200:
                 return response.json()["usage"]["completion_tokens"] == 4
             eventlet.sleep(0.5)
@@ -102,6 +107,13 @@
     return send
 
 
+def check(process, watch):
+    watch.close()
+    assert process.is_running
+    assert watch.max_memory_bytes <= MEMORY_BYTES
+    assert watch.max_descriptors <= MAX_DESCRIPTORS
+
+
 @pytest.mark.parametrize("kind", unruly.KINDS)
 def test_callers_are_served_beside_a_crowd(
     kind, started, watch, start_crowd, ask
@@ -112,7 +124,16 @@
     assert ask()
     crowd.close()
     assert ask()
-    watch.close()
-    assert process.is_running
-    assert watch.max_memory_bytes <= MEMORY_BYTES
-    assert watch.max_descriptors <= MAX_DESCRIPTORS
+    check(process, watch)
+
+
+@pytest.mark.parametrize("kind", ["large chunks", "endless head", "idle"])
+def test_callers_are_served_beside_a_crowd_on_the_port_of_instances(
+    kind, started, watch, start_crowd, ask
+):
+    process, _, peer_port = started
+    crowd = start_crowd(peer_port, kind)
+    assert ask()
+    crowd.close()
+    assert ask()
+    check(process, watch)
--- a/packages/hollycart-core/src/hollycart_core/http/_server.py
+++ b/packages/hollycart-core/src/hollycart_core/http/_server.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import errno
+import functools
 import logging
 from typing import Any
 
+from absl import logging as absl_logging
 import eventlet
 from eventlet import greenio
 from eventlet import wsgi
@@ -15,6 +18,17 @@
 
 _SOCKET_TIMEOUT_S = 15  # per socket operation
 _BACKLOG = 1024
+# Failures to accept one connection, after which others may be accepted.
+_PASSING_ERRORS = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    )
+)
+_ACCEPT_PAUSE_S = 0.05
 
 
 class HttpServer:
@@ -52,6 +66,7 @@
         self._sock = eventlet.listen(
             (self.host, self.port), backlog=_BACKLOG, reuse_port=False
         )
+        self._sock.accept = functools.partial(_accept, self._sock)
         # Accepted connections inherit the size.
         self._sock.setsockopt(
             socket.SOL_SOCKET,
@@ -86,3 +101,19 @@
             keepalive=True,
             debug=False,
         )
+
+
+def _accept(listener: Any) -> Any:
+    """Accepts a connection; eventlet's server would end for want of files.
+
+    Raises:
+        OSError: If the listener was closed.
+    """
+    while True:
+        try:
+            return greenio.GreenSocket.accept(listener)
+        except OSError as exc:
+            if exc.errno not in _PASSING_ERRORS:
+                raise
+            absl_logging.warning("accepting a connection failed: %s", exc)
+            eventlet.sleep(_ACCEPT_PAUSE_S)
--- a/packages/hollycart-core/src/hollycart_core/http/tests/test_server.py
+++ b/packages/hollycart-core/src/hollycart_core/http/tests/test_server.py
@@ -1,5 +1,9 @@
 """WSGI server in front of clients that do not behave."""
 
+import gc
+import os
+import resource
+
 import eventlet
 from eventlet.green import socket
 import pytest
@@ -95,3 +99,43 @@
         connect(sent)
     sock = connect(POST + b"Content-Length: 1\r\n\r\nx")
     assert sock.recv(1000).endswith(b"1")
+
+
+@pytest.fixture
+def without_descriptors():
+    """Takes all descriptors until it is called."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    taken = []
+
+    def take():
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(soft, 400), hard))
+        for _ in range(5):  # other tests may still close some
+            gc.collect()
+            eventlet.sleep(0.02)
+            with pytest.raises(OSError, match="Too many open files"):
+                while True:
+                    taken.append(os.dup(0))
+        return release
+
+    def release():
+        while taken:
+            os.close(taken.pop())
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+    yield take
+    release()
+
+
+def test_server_accepts_again_after_there_were_no_descriptors(
+    server, without_descriptors
+):
+    """Guards against a process that runs and serves nobody."""
+    sock = socket.socket()
+    release = without_descriptors()
+    sock.connect((server.host, server.port))
+    eventlet.sleep(0.2)
+    release()
+    sock.settimeout(10)
+    sock.sendall(POST + b"Content-Length: 1\r\n\r\nx")
+    assert sock.recv(1000).endswith(b"1")
+    sock.close()
--- a/packages/hollycart/src/hollycart/peers/_server.py
+++ b/packages/hollycart/src/hollycart/peers/_server.py
@@ -14,6 +14,10 @@
 from hollycart_core import base
 
 MAX_MESSAGE_BYTES = 16 << 20
+# Clients that open connections and send nothing, or do not end their calls.
+_HANDSHAKE_TIMEOUT_MS = 2000
+_IDLE_TIMEOUT_MS = 30000
+_MAX_CALLS_PER_CONNECTION = 64
 SECRET_HEADER = "hollycart-secret"
 
 Handler = Callable[[Any], Any]
@@ -56,6 +60,9 @@
             options=[
                 ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
                 ("grpc.so_reuseport", 0),
+                ("grpc.server_handshake_timeout_ms", _HANDSHAKE_TIMEOUT_MS),
+                ("grpc.max_connection_idle_ms", _IDLE_TIMEOUT_MS),
+                ("grpc.max_concurrent_streams", _MAX_CALLS_PER_CONNECTION),
             ],
         )
         methods = {
