Free what a request or response holds as soon as it is shed

A response that was given up for lack of memory stayed until a garbage collection, as the body of a request did: the failure refers to the frames of the thread that got it, and they to the failure. The end of the account now takes the traceback off, which also replaces what was done for bodies alone.

--- a/packages/hollycart-core/src/hollycart_core/connections/_exchange_memory.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_exchange_memory.py
@@ -168,7 +168,12 @@
         """Discards what is buffered and ends the account."""
         self._writer.close()
         self.gate.close(self._account)
-        self.gate.budget.protect(self._account)  # ends the reference cycle
+        # Without these cycles, what was received or not yet sent is freed now
+        # and not by the next garbage collection: the account refers to this
+        # object, and the failure to the frames of the thread that got it.
+        self.gate.budget.protect(self._account)
+        if self.shed_error is not None:
+            self.shed_error.__traceback__ = None
 
     def _wait(self) -> None:
         try:
--- a/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/_server_connection.py
@@ -270,7 +270,7 @@
         if self._sock is None or self._caller_gone:
             return False
         if exchange.refusal is not None:
-            exchange.refusal.__traceback__ = None  # as in `_read_request`
+            exchange.refusal.__traceback__ = None  # refers to the exchange
             del exchange
             self._release_head()
             self._discard_rest()
@@ -387,26 +387,15 @@
                 f"the body was not received: {exc.detail}",
                 _REFUSAL_RETRY_AFTER_MS,
             )
-            # Its frames refer to the failure and hold what was received.
-            exc.__traceback__ = None
             return _exchange.Exchange(
                 self, self._head, b"", self._received_ms, refusal
             )
 
     def _receive_request(self) -> _exchange.Exchange | None:
-        body = bytearray()
-        try:
-            return self._receive_into(body)
-        finally:
-            # The traceback of a failure keeps this frame until the next cyclic
-            # garbage collection.
-            body.clear()
-
-    def _receive_into(self, body: bytearray) -> _exchange.Exchange | None:
-        """Receives a request; its body is gathered in `body`."""
         clock = self.server.clock
         # What was in force when the head was complete holds for the body.
         max_body_bytes = 0
+        body = bytearray()
         started_ms: float | None = None
         self._parse_read_ahead()
         while True:
@@ -435,9 +424,7 @@
                 )
                 if length and int(length) > max_body_bytes:
                     self._reject(
-                        413,
-                        f"body of {length} bytes exceeds {max_body_bytes} "
-                        "bytes",
+                        413, f"body of {length} bytes exceeds {max_body_bytes}"
                     )
                     return None
                 if not self._has_room():
