Shared fixtures of bounded servers and crowds; bounds on clients in the proofs

test_slow_callers, test_received_memory and test_connection_limit start their servers by one fixture, the two crowd tests share theirs. No check changed.

--- a/packages/hollycart-bench/src/hollycart_bench/unruly/tests/test_entry.py
+++ b/packages/hollycart-bench/src/hollycart_bench/unruly/tests/test_entry.py
@@ -11,7 +11,7 @@
 
 MEMORY_BYTES = 160 << 20  # that the process is told to have
 MAX_DESCRIPTORS = 400
-MAX_BODY_BYTES = 4 << 20
+MAX_BODY_BYTES = 4 << 20  # what the crowds know
 _ATTEMPTS = 20
 _TIMEOUT_MS = 10000.0
 _PATH = "/v1/completions"
@@ -51,29 +51,12 @@
     watched.close()
 
 
-@pytest.fixture
-def start_crowd():
-    """Starts a crowd and waits until it gets no further."""
-    crowds = []
-
-    def start(port, kind):
-        crowd = unruly.Crowd(
-            f"{local.HOST}:{port}",
-            unruly.KINDS[kind],
-            lambda number: (
-                f"POST {_PATH} HTTP/1.1\r\nHost: h\r\nX-Client: {number}\r\n"
-                f"Authorization: Bearer {local.TEAM_KEY}\r\n"
-            ).encode(),
-            MAX_BODY_BYTES,
-        )
-        crowds.append(crowd)
-        crowd.start()
-        crowd.wait_settled()
-        return crowd
-
-    yield start
-    for crowd in crowds:
-        crowd.close()
+def make_head(number):
+    """Returns the first lines of the head of a client's request."""
+    return (
+        f"POST {_PATH} HTTP/1.1\r\nHost: h\r\nX-Client: {number}\r\n"
+        f"Authorization: Bearer {local.TEAM_KEY}\r\n"
+    ).encode()
 
 
 @pytest.fixture
@@ -107,33 +90,26 @@
     return send
 
 
-def check(process, watch):
-    watch.close()
-    assert process.is_running
-    assert watch.max_memory_bytes <= MEMORY_BYTES
-    assert watch.max_descriptors <= MAX_DESCRIPTORS
-
-
 @pytest.mark.parametrize("kind", unruly.KINDS)
 def test_callers_are_served_beside_a_crowd(
-    kind, started, watch, start_crowd, ask
+    kind, started, watch, start_crowd, ask, check
 ):
     """Guards against a process that runs out of memory or descriptors."""
     process, port, _ = started
-    crowd = start_crowd(port, kind)
+    crowd = start_crowd(f"{local.HOST}:{port}", kind, make_head)
     assert ask()
     crowd.close()
     assert ask()
-    check(process, watch)
+    check(process, watch, MEMORY_BYTES, MAX_DESCRIPTORS)
 
 
 @pytest.mark.parametrize("kind", ["large chunks", "endless head", "idle"])
 def test_callers_are_served_beside_a_crowd_on_the_port_of_instances(
-    kind, started, watch, start_crowd, ask
+    kind, started, watch, start_crowd, ask, check
 ):
     process, _, peer_port = started
-    crowd = start_crowd(peer_port, kind)
+    crowd = start_crowd(f"{local.HOST}:{peer_port}", kind, make_head)
     assert ask()
     crowd.close()
     assert ask()
-    check(process, watch)
+    check(process, watch, MEMORY_BYTES, MAX_DESCRIPTORS)
--- a/packages/hollycart-bench/src/hollycart_bench/unruly/tests/test_gateway.py
+++ b/packages/hollycart-bench/src/hollycart_bench/unruly/tests/test_gateway.py
@@ -12,8 +12,8 @@
 
 MEMORY_BYTES = 128 << 20  # that the process is told to have
 MAX_DESCRIPTORS = 400  # likewise
-MAX_BODY_BYTES = 4 << 20  # the default
 _ATTEMPTS = 20
+_MAX_ANSWER_BYTES = 1 << 20
 _TIMEOUT_MS = 10000.0
 
 
@@ -53,25 +53,6 @@
     watched.close()
 
 
-@pytest.fixture
-def start_crowd():
-    """Starts a crowd and waits until it gets no further."""
-    crowds = []
-
-    def start(address, kind, make_head):
-        crowd = unruly.Crowd(
-            address, unruly.KINDS[kind], make_head, MAX_BODY_BYTES
-        )
-        crowds.append(crowd)
-        crowd.start()
-        crowd.wait_settled()
-        return crowd
-
-    yield start
-    for crowd in crowds:
-        crowd.close()
-
-
 @pytest.fixture
 def make_head(system):
     """First lines of the head of a client's request."""
@@ -109,7 +90,7 @@
                 conn.start(_TIMEOUT_MS)
                 conn.send(head, b"prompt", _TIMEOUT_MS)
                 response = conn.read_head(_TIMEOUT_MS)
-                body = conn.read_body(_TIMEOUT_MS, MAX_BODY_BYTES)
+                body = conn.read_body(_TIMEOUT_MS, _MAX_ANSWER_BYTES)
                 if response.status == 200:
                     return body == _engine.response_body(attempt_id)
             except base.HollycartError:
@@ -122,23 +103,16 @@
     return send
 
 
-def check(process, watch):
-    watch.close()
-    assert process.is_running
-    assert watch.max_memory_bytes <= MEMORY_BYTES
-    assert watch.max_descriptors <= MAX_DESCRIPTORS
-
-
 @pytest.mark.parametrize("kind", unruly.KINDS)
 def test_callers_are_served_beside_a_crowd(
-    kind, process, watch, cfg, start_crowd, make_head, ask
+    kind, process, watch, cfg, start_crowd, make_head, ask, check
 ):
     """Guards against a process that runs out of memory or descriptors."""
     crowd = start_crowd(cfg.front_address, kind, make_head)
     assert ask("a")
     crowd.close()
     assert ask("b")
-    check(process, watch)
+    check(process, watch, MEMORY_BYTES, MAX_DESCRIPTORS)
 
 
 LISTENERS = {
@@ -151,11 +125,20 @@
 @pytest.mark.parametrize("kind", ["large chunks", "many fields", "idle"])
 @pytest.mark.parametrize("listener", LISTENERS)
 def test_callers_are_served_beside_a_crowd_on_another_listener(
-    listener, kind, system, process, watch, cfg, start_crowd, make_head, ask
+    listener,
+    kind,
+    system,
+    process,
+    watch,
+    cfg,
+    start_crowd,
+    make_head,
+    ask,
+    check,
 ):
     crowd = start_crowd(LISTENERS[listener](cfg), kind, make_head)
     assert ask("a")
     crowd.close()
     system.wait_ready("n0")
     assert ask("b")
-    check(process, watch)
+    check(process, watch, MEMORY_BYTES, MAX_DESCRIPTORS)
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/conftest.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/conftest.py
@@ -82,6 +82,31 @@
     return connections.MemoryGate(budget, clock)
 
 
+@pytest.fixture
+def start_server(clock, memory):
+    """Starts a server with bounded memory; returns it."""
+    servers = []
+
+    def start(handler, max_connections=0):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        server = connections.HttpExchangeServer(
+            f"127.0.0.1:{port}",
+            handler,
+            clock,
+            memory=memory,
+            max_connections=max_connections,
+        )
+        server.start()
+        servers.append(server)
+        return server
+
+    yield start
+    for server in servers:
+        server.close()
+
+
 @pytest.fixture
 def connect():
     """Opens sockets whose kernel buffers hold a few kB, as across a network."""
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_connection_limit.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_connection_limit.py
@@ -1,12 +1,10 @@
 """More clients than there is room for."""
 
-import socket
 from typing import NamedTuple
 
 import eventlet
 import pytest
 
-from hollycart_core import connections
 from hollycart_core.connections import _connection_limit
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -40,30 +38,6 @@
     assert found is victim
 
 
-@pytest.fixture
-def start_server(clock, memory):
-    servers = []
-
-    def start(handler, max_connections):
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-        server = connections.HttpExchangeServer(
-            f"127.0.0.1:{port}",
-            handler,
-            clock,
-            memory=memory,
-            max_connections=max_connections,
-        )
-        server.start()
-        servers.append(server)
-        return server
-
-    yield start
-    for server in servers:
-        server.close()
-
-
 @pytest.mark.parametrize("sent", [b"", b"GET /a HT", GET], ids=str)
 def test_caller_is_served_although_all_places_are_taken(
     sent, start_server, connect, eventually
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_received_memory.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_received_memory.py
@@ -1,7 +1,5 @@
 """What is received of requests counts, and is read only if there is room."""
 
-import socket
-
 import eventlet
 import pytest
 
@@ -12,26 +10,6 @@
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
-@pytest.fixture
-def start_server(clock, memory):
-    servers = []
-
-    def start(handler):
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-        server = connections.HttpExchangeServer(
-            f"127.0.0.1:{port}", handler, clock, memory=memory
-        )
-        server.start()
-        servers.append(server)
-        return server
-
-    yield start
-    for server in servers:
-        server.close()
-
-
 @pytest.fixture
 def fill(memory):
     """Holds some bytes that cannot be shed."""
--- a/packages/hollycart-core/src/hollycart_core/connections/tests/test_slow_callers.py
+++ b/packages/hollycart-core/src/hollycart_core/connections/tests/test_slow_callers.py
@@ -14,26 +14,6 @@
 GET_1_0 = b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n"
 
 
-@pytest.fixture
-def start_server(clock, memory):
-    servers = []
-
-    def start(handler):
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-        server = connections.HttpExchangeServer(
-            f"127.0.0.1:{port}", handler, clock, memory=memory
-        )
-        server.start()
-        servers.append(server)
-        return server
-
-    yield start
-    for server in servers:
-        server.close()
-
-
 def respond(exchange):
     exchange.hold(len(BODY))
     exchange.respond_parts(200, (), PARTS)
