Leave room for the largest body that the configuration allows

A request whose body is within `max-body-bytes` was refused with 503 however calm it was, where a quarter of the memory for requests is less than that: with 100 MB and 50 MB bodies, 9 MB. The bound on one request now follows the configured limit as well. The test failed before; with 4 MB bodies, as on all deployments known, nothing changes.

--- a/packages/hollycart/src/hollycart/gateway/_gateway.py
+++ b/packages/hollycart/src/hollycart/gateway/_gateway.py
@@ -255,7 +255,7 @@
         )
         self.reader.schedule = _read_schedule(cfg)
         self.forwarder.apply_policy(self.cfg.policy)
-        _memory.apply_bounds(self.memory.budget, self.cfg.policy)
+        self._bound_memory()
         self._limit_connections()
         budget = self.forwarder.budget
         budget.ratio = cfg.retry_ratio
@@ -343,6 +343,16 @@
                 cfg.limits.header_timeout_ms,
                 cfg.limits.idle_timeout_ms,
             )
+            self._bound_memory()
+
+    def _bound_memory(self) -> None:
+        """Bounds what is held, by the settings and the configured limits."""
+        cfg = self.platform_state.config
+        _memory.apply_bounds(
+            self.memory.budget,
+            self.cfg.policy,
+            cfg.limits.max_body_bytes if cfg is not None else 0,
+        )
 
     def _make_server(
         self,
--- a/packages/hollycart/src/hollycart/gateway/_memory.py
+++ b/packages/hollycart/src/hollycart/gateway/_memory.py
@@ -9,8 +9,9 @@
 # Resident memory of an instance that holds nothing for callers, with the state
 # of a large deployment.
 _PROCESS_BYTES = 60 << 20
-# The longest answer that is not a stream, and a request body beside it.
+# The longest answer that is not a stream, and a small request body beside it.
 _MIN_ACCOUNT_BYTES = 9 << 20
+_HEAD_BYTES = 1 << 20  # what a request may hold besides its body
 # An engine cuts off a response that was not read for 2 s. Callers that read
 # promptly take a megabyte in a fifth of this time at 10 MB/s.
 _WAIT_MS = 500.0
@@ -76,22 +77,34 @@
 
 
 def apply_bounds(
-    budget: connections.MemoryBudget, policy: _settings.PolicySettings
+    budget: connections.MemoryBudget,
+    policy: _settings.PolicySettings,
+    max_body_bytes: int = 0,
 ) -> None:
     """Sets the bounds of a budget by the memory of the process.
 
+    Args:
+        budget: The budget.
+        policy: What the deployment asks for.
+        max_body_bytes: Largest body of a request, in bytes, for which there
+            has to be room whatever the memory; 0 if it is not known.
+
     Example:
         >>> budget = connections.MemoryBudget(0, 0, 500.0)
         >>> policy = _settings.PolicySettings(memory_bytes=200 << 20)
         >>> apply_bounds(budget, policy)
         >>> budget.total_bytes >> 20, budget.account_bytes >> 20
         (70, 17)
+        >>> apply_bounds(budget, policy, max_body_bytes=64 << 20)
+        >>> budget.total_bytes >> 20, budget.account_bytes >> 20
+        (70, 65)
         >>> apply_bounds(budget, _settings.PolicySettings())
         >>> budget.total_bytes < base.machine_memory_bytes()
         True
     """
     budget.total_bytes, budget.account_bytes = connections.bound_held_bytes(
-        _left_bytes(policy), _MIN_ACCOUNT_BYTES
+        _left_bytes(policy),
+        max(_MIN_ACCOUNT_BYTES, max_body_bytes + _HEAD_BYTES),
     )
 
 
