Make a shed body a refusal in one place

RequestMemory.wait and read_body both turned the failure of a request that gives way into the refusal, by a function of their own. Only read_body does so now; the account ends with the request, as it did for one that others shed. The tests of the server and the crowds at the entry that send bodies or stay idle pass.

--- a/packages/hollycart-core/src/hollycart_core/http/_request_memory.py
+++ b/packages/hollycart-core/src/hollycart_core/http/_request_memory.py
@@ -5,13 +5,11 @@
 import eventlet
 from eventlet import greenthread
 
-from hollycart_core import base
 from hollycart_core import connections
 
 MEMORY_KEY = "hollycart.memory"  # in the WSGI environment
 # The body as received, and the one that is encoded for an engine.
 _COPIES = 2
-_RETRY_AFTER_MS = 500.0  # in which others give way that wait for longest
 
 
 class RequestMemory:
@@ -36,13 +34,9 @@
         """Waits until more of the body may be received.
 
         Raises:
-            OverloadedError: If the request has to give way.
+            ResponseShedError: If the request has to give way.
         """
-        try:
-            self.gate.wait(self._account)
-        except connections.ResponseShedError as exc:
-            self.close()
-            raise refuse(exc) from None
+        self.gate.wait(self._account)
 
     def add(self, size: int) -> None:
         """Counts bytes of the body."""
@@ -66,10 +60,3 @@
         if thread is not None:
             exc = self.gate.make_error(self._account)
             eventlet.spawn_n(greenthread.kill, thread, exc)
-
-
-def refuse(exc: connections.ResponseShedError) -> base.OverloadedError:
-    """Returns the refusal of a request that was shed."""
-    return base.OverloadedError(
-        f"the body was not received: {exc.detail}", _RETRY_AFTER_MS
-    )
--- a/packages/hollycart-core/src/hollycart_core/http/_wsgi.py
+++ b/packages/hollycart-core/src/hollycart_core/http/_wsgi.py
@@ -28,6 +28,8 @@
 _READ_BYTES = 1 << 14
 # Chunks of a few bytes take many times their size until they are joined.
 _CHUNKED_READ_BYTES = 1 << 12
+# In this time others give way that have stopped for longest.
+_RETRY_AFTER_MS = 500.0
 
 
 def respond(
@@ -104,7 +106,9 @@
             raise
         raise base.BodyTimeoutError("body") from None
     except connections.ResponseShedError as exc:
-        raise _request_memory.refuse(exc) from None
+        raise base.OverloadedError(
+            f"the body was not received: {exc.detail}", _RETRY_AFTER_MS
+        ) from None
     except (OSError, ValueError) as exc:
         raise base.InvalidRequestError(f"body ended early: {exc}") from None
     finally:
