One function reads the memory of a process for soak and crowds

The watch of the crowds parsed /proc/PID/status as the soak's system does. Both call fleet.read_memory_bytes. A maximum that no test read is gone from the watch.

--- a/packages/hollycart-bench/src/hollycart_bench/fleet/_process.py
+++ b/packages/hollycart-bench/src/hollycart_bench/fleet/_process.py
@@ -94,3 +94,24 @@
 def python_module(module: str, *args: str) -> list[str]:
     """Returns the command line that runs a module in this environment."""
     return [sys.executable, "-m", module, *args]
+
+
+def read_memory_bytes(pid: int, field: str) -> int:
+    """Returns a size that Linux states of a process, in bytes.
+
+    Args:
+        pid: Process id.
+        field: Name in `/proc/PID/status`, such as `VmHWM`, the peak of the
+            resident memory, or `VmRSS`.
+
+    Returns:
+        The size; 0 if the process has ended.
+    """
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0
+    for line in status.splitlines():
+        if line.startswith(f"{field}:"):
+            return int(line.split()[1]) * 1024
+    return 0
--- a/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
+++ b/packages/hollycart-bench/src/hollycart_bench/soak/_system.py
@@ -309,14 +309,7 @@
     def peak_memory_mb(self, name: str) -> float:
         """Returns the largest resident memory of an instance, in MB."""
         pid = self.entry_instances[name].process.pid
-        try:
-            status = pathlib.Path(f"/proc/{pid}/status").read_text()
-        except OSError:
-            return 0.0  # it is not running
-        for line in status.splitlines():
-            if line.startswith("VmHWM:"):
-                return float(line.split()[1]) / 1024.0
-        return 0.0
+        return fleet.read_memory_bytes(pid, "VmHWM") / (1 << 20)
 
     def loop_delays(self, name: str) -> list[_record.LoopDelay]:
         """Returns the late rounds that an instance logged."""
--- a/packages/hollycart-bench/src/hollycart_bench/unruly/_process_watch.py
+++ b/packages/hollycart-bench/src/hollycart_bench/unruly/_process_watch.py
@@ -5,6 +5,8 @@
 
 import eventlet
 
+from hollycart_bench import fleet
+
 _INTERVAL_S = 0.05
 _ESTABLISHED = "01"
 _CLOSE_WAIT = "08"
@@ -21,7 +23,6 @@
         max_descriptors: Largest number of open descriptors.
         max_memory_bytes: Largest sum of resident memory and of the bytes that
             were received on the ports and not yet read, in bytes.
-        max_unread_bytes: Largest number of these received bytes.
     """
 
     def __init__(self, pid: int, ports: tuple[int, ...]) -> None:
@@ -29,7 +30,6 @@
         self.ports = frozenset(f"{port:04X}" for port in ports)
         self.max_descriptors = 0
         self.max_memory_bytes = 0
-        self.max_unread_bytes = 0
         self._thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -42,7 +42,7 @@
             self._thread.kill()
             self._thread = None
         self._sample()
-        peak_bytes = self._status_bytes("VmHWM:")
+        peak_bytes = fleet.read_memory_bytes(self.pid, "VmHWM")
         self.max_memory_bytes = max(self.max_memory_bytes, peak_bytes)
 
     def _run(self) -> None:
@@ -56,23 +56,12 @@
         except OSError:
             return  # the process has ended
         unread_bytes = self._unread_bytes()
-        resident_bytes = self._status_bytes("VmRSS:")
+        resident_bytes = fleet.read_memory_bytes(self.pid, "VmRSS")
         self.max_descriptors = max(self.max_descriptors, descriptors)
-        self.max_unread_bytes = max(self.max_unread_bytes, unread_bytes)
         self.max_memory_bytes = max(
             self.max_memory_bytes, resident_bytes + unread_bytes
         )
 
-    def _status_bytes(self, field: str) -> int:
-        try:
-            text = pathlib.Path(f"/proc/{self.pid}/status").read_text()
-        except OSError:
-            return 0  # the process has ended
-        for line in text.splitlines():
-            if line.startswith(field):
-                return int(line.split()[1]) * 1024
-        return 0
-
     def _unread_bytes(self) -> int:
         unread_bytes = 0
         lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()
